Forward flows on the users' machines: the thin path

Cause: the users' platform routes flow packets to the forwarders and keeps configuration and upstreams in its key-value store; nothing of the product spoke that. Change: components without I/O (upstream directory, route table, placement by own flows, store follower) under forwarding/, and platform/ with the packet head, the store's calls and its items. HTTP client and server, timers and rings move to apps/io, shared by both daemons; the runtime's clock counts the time of a suspension.

--- a/apps/daemon/daemon.cc
+++ b/apps/daemon/daemon.cc
@@ -8,7 +8,7 @@
 #include <random>
 #include <thread>
 
-#include "daemon/addresses.h"
+#include "io/addresses.h"
 #include "daemon/data_thread.h"
 #include "daemon/http_config_store.h"
 #include "daemon/listeners.h"
--- a/apps/daemon/data_output.cc
+++ b/apps/daemon/data_output.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "daemon/addresses.h"
+#include "io/addresses.h"
 #include "daemon/data_thread.h"
 
 /// What leaves the data thread.
--- a/apps/daemon/data_thread.cc
+++ b/apps/daemon/data_thread.cc
@@ -4,7 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <chrono>
 
-#include "daemon/addresses.h"
+#include "io/addresses.h"
 
 namespace rosemarydrum {
 namespace {
--- a/apps/daemon/listeners.cc
+++ b/apps/daemon/listeners.cc
@@ -1,6 +1,6 @@
 #include "daemon/listeners.h"
 
-#include "daemon/addresses.h"
+#include "io/addresses.h"
 
 namespace rosemarydrum {
 namespace {
--- a/apps/daemon/rings.h
+++ b/apps/daemon/rings.h
@@ -5,7 +5,7 @@
 #include <variant>
 #include <vector>
 
-#include "daemon/bounded_ring.h"
+#include "io/bounded_ring.h"
 #include "daemon/metrics_snapshot.h"
 #include "rosemarydrum/balancer.h"
 #include "rosemarydrum/peer_message.h"
--- a/apps/daemon/store_answer.h
+++ b/apps/daemon/store_answer.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <string_view>
 
-#include "daemon/http_connection.h"
+#include "io/http_connection.h"
 #include "rosemarydrum/config_store.h"
 
 /// What the store's HTTP answers mean (docs/store-protocol.md).
--- a/apps/daemon/store_poller.h
+++ b/apps/daemon/store_poller.h
@@ -3,7 +3,7 @@
 #include <memory>
 #include <string>
 
-#include "daemon/http_connection.h"
+#include "io/http_connection.h"
 #include "rosemarydrum/config_store.h"
 
 namespace rosemarydrum {
--- a/apps/daemon/http_connection.cc
+++ b/apps/io/http_connection.cc
@@ -1,4 +1,4 @@
-#include "daemon/http_connection.h"
+#include "io/http_connection.h"
 
 #include <boost/asio/post.hpp>
 
--- a/apps/daemon/http_connection.h
+++ b/apps/io/http_connection.h
@@ -10,7 +10,7 @@
 #include <optional>
 #include <string>
 
-#include "daemon/runtime_timer.h"
+#include "io/runtime_timer.h"
 #include "rosemarydrum/error_kind.h"
 
 namespace rosemarydrum {
--- a/apps/daemon/http_session.cc
+++ b/apps/io/http_session.cc
@@ -1,4 +1,4 @@
-#include "daemon/http_session.h"
+#include "io/http_session.h"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -8,13 +8,13 @@
 
 namespace http = boost::beast::http;
 
-constexpr seconds request_time{5};
+constexpr std::chrono::seconds request_time{5};
 constexpr std::uint32_t max_header = 8192;
 
 }  // namespace
 
 http_session::http_session(boost::asio::ip::tcp::socket socket,
-                           std::shared_ptr<int> count, handler handle)
+                           std::shared_ptr<int> count, http_server::handler handle)
     : stream_(std::move(socket)),
       count_(std::move(count)),
       handle_(std::move(handle)) {
@@ -42,11 +42,12 @@
   const auto target = request.target();
   const auto page = request.method() == http::verb::get
                         ? handle_({target.data(), target.size()})
-                        : metrics_thread::page{405, "only GET is allowed\n"};
+                        : http_page{405, "only GET is allowed\n"};
   response_ = {};
   response_.version(request.version());
   response_.result(page.status);
-  response_.set(http::field::content_type, "text/plain; version=0.0.4");
+  response_.set(http::field::content_type,
+                {page.type.data(), page.type.size()});
   response_.keep_alive(request.keep_alive());
   response_.body() = page.text;
   response_.prepare_payload();
--- a/apps/daemon/http_session.h
+++ b/apps/io/http_session.h
@@ -10,19 +10,17 @@
 #include <memory>
 #include <optional>
 
-#include "daemon/metrics_thread.h"
+#include "io/http_server.h"
 
 namespace rosemarydrum {
 
-/// One HTTP connection of a scraper: GET only, 8 KB of header, 5 s for each
+/// One HTTP connection: GET only, 8 KB of header, 5 s for each
 /// request.
 class http_session : public std::enable_shared_from_this<http_session> {
  public:
-  using handler = std::function<metrics_thread::page(std::string_view)>;
-
   /// `count` is the number of open sessions.
   http_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<int> count,
-               handler handle);
+               http_server::handler handle);
   ~http_session();
   http_session(const http_session&) = delete;
   http_session& operator=(const http_session&) = delete;
@@ -35,7 +33,7 @@
 
   boost::beast::tcp_stream stream_;
   std::shared_ptr<int> count_;
-  handler handle_;
+  http_server::handler handle_;
   boost::beast::flat_buffer buffer_;
   std::optional<
       boost::beast::http::request_parser<boost::beast::http::empty_body>>
--- a/apps/daemon/runtime_timer.h
+++ b/apps/io/runtime_timer.h
@@ -7,13 +7,14 @@
 
 namespace rosemarydrum {
 
-/// Bounds how long Asio sleeps, because a clock that a test advances does not
-/// wake it.
+/// Bounds how long Asio sleeps while a test holds the clock, because advancing
+/// it does not wake Asio.
 struct runtime_wait_traits {
   static constexpr milliseconds longest_wait{20};
 
   static duration to_wait_duration(const duration& wait) {
-    return std::min<duration>(wait, longest_wait);
+    return runtime_clock::is_held() ? std::min<duration>(wait, longest_wait)
+                                    : wait;
   }
   static duration to_wait_duration(const time_point& at) {
     return to_wait_duration(at - runtime_clock::now());
--- a/include/rosemarydrum/config_codec.h
+++ b/include/rosemarydrum/config_codec.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "rosemarydrum/address_text.h"
 #include "rosemarydrum/configuration.h"
 
 /// JSON documents of the configuration (docs/store-protocol.md).
@@ -72,13 +73,6 @@
 std::vector<config_problem> check_change(std::vector<document> documents,
                                          const document& changed);
 
-/// IPv4 `a.b.c.d:port`; nullopt if malformed or the port is 0.
-std::optional<endpoint> parse_endpoint(std::string_view text);
-std::string to_string(const endpoint& address);
-/// IPv4 `a.b.c.d/length`; nullopt if malformed or host bits are set.
-std::optional<ip_prefix> parse_prefix(std::string_view text);
-std::string to_string(const ip_prefix& prefix);
-
 /// `in` or `out`.
 std::string_view name_of(service_state state);
 
--- a/include/rosemarydrum/error_kind.h
+++ b/include/rosemarydrum/error_kind.h
@@ -34,6 +34,7 @@
   store_unavailable,
   timed_out,
   in_progress,
+  history_lost,
   count
 };
 
@@ -111,6 +112,8 @@
          "no answer in time"},
         {error_kind::in_progress, "in_progress", certainty::not_applicable, 9,
          "another balancer runs this request"},
+        {error_kind::history_lost, "history_lost", certainty::not_applicable, 9,
+         "the store no longer knows what has changed"},
     }};
 
 /// The table's row for `kind`.
--- /dev/null
+++ b/include/rosemarydrum/forwarding/flow_packet.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+
+#include "rosemarydrum/packet.h"
+#include "rosemarydrum/types.h"
+
+namespace rosemarydrum {
+
+/// The two ends of a flow as its caller sees them.
+struct flow_ends {
+  endpoint caller;
+  endpoint service;
+
+  friend auto operator<=>(const flow_ends&, const flow_ends&) = default;
+};
+
+/// Names the upstream of a flow in all packets after the first; 0: none.
+enum class upstream_tag : std::uint32_t {};
+
+/// The parts of a caller's packet that decisions rest on.
+struct flow_packet {
+  flow_ends flow;
+  bool opens = false;
+  bool acknowledges = false;
+  bool finishes = false;
+  bool resets = false;
+  upstream_tag tag{};
+  std::uint32_t sequence = 0;
+  /// Of an opening packet: the number of its copies sent before.
+  std::uint32_t acknowledged = 0;
+  /// View into the datagram.
+  bytes_view data;
+};
+
+}  // namespace rosemarydrum
+
+template <>
+struct std::hash<rosemarydrum::flow_ends> {
+  std::size_t operator()(const rosemarydrum::flow_ends& flow) const {
+    using rosemarydrum::detail::mix;
+    const auto both = [](const rosemarydrum::endpoint& end) {
+      return (std::uint64_t{end.address} << 16) | end.port;
+    };
+    return mix(mix(0, both(flow.caller)), both(flow.service));
+  }
+};
--- a/include/rosemarydrum/runtime_clock.h
+++ b/include/rosemarydrum/runtime_clock.h
@@ -13,8 +13,11 @@
   using time_point = rosemarydrum::time_point;
   static constexpr bool is_steady = true;
 
-  /// Time since the epoch: steady, or as set by `manual_time`.
+  /// Time since the epoch: steady and counted while the instance is suspended,
+  /// or as set by `manual_time`.
   static time_point now() noexcept;
+  /// Whether a `manual_time` holds the clock.
+  static bool is_held() noexcept;
 
   /// The wall clock at `at`, in Unix milliseconds.
   static unix_ms to_unix(time_point at) noexcept;
--- a/src/address_text.cc
+++ b/src/address_text.cc
@@ -1,6 +1,6 @@
-#include <charconv>
+#include "rosemarydrum/address_text.h"
 
-#include "rosemarydrum/config_codec.h"
+#include <charconv>
 
 namespace rosemarydrum {
 namespace {
@@ -54,13 +54,19 @@
 
 }  // namespace
 
-std::optional<endpoint> parse_endpoint(std::string_view text) {
+std::optional<std::uint32_t> parse_ipv4(std::string_view text) {
+  const auto address = take_address(text);
+  return text.empty() ? address : std::nullopt;
+}
+
+std::optional<endpoint> parse_endpoint(std::string_view text,
+                                       std::uint16_t lowest_port) {
   const auto address = take_address(text);
   if (!address || !take(text, ':')) {
     return std::nullopt;
   }
   const auto port = take_number(text, 65'535);
-  if (!port || *port == 0 || !text.empty()) {
+  if (!port || *port < lowest_port || !text.empty()) {
     return std::nullopt;
   }
   return endpoint{*address, static_cast<std::uint16_t>(*port)};
--- /dev/null
+++ b/src/forwarding/handshake_health.cc
@@ -0,0 +1,34 @@
+#include "rosemarydrum/forwarding/handshake_health.h"
+
+#include <algorithm>
+
+namespace rosemarydrum {
+
+bool handshake_health::on_answered(time_point sent) {
+  const bool was_silent = is_silent();
+  answered_ = std::max(answered_, sent);
+  unanswered_ = 0;
+  avoided_until_ = {};
+  return was_silent;
+}
+
+bool handshake_health::on_unanswered(time_point sent, time_point now) {
+  // A later one was answered: this one was lost on its way.
+  if (sent <= answered_) {
+    return false;
+  }
+  const bool was_silent = is_silent();
+  duration avoidance = first_avoidance;
+  for (int i = 0; i < unanswered_ && avoidance < longest_avoidance; ++i) {
+    avoidance *= 2;
+  }
+  ++unanswered_;
+  avoided_until_ =
+      std::max(avoided_until_,
+               now + std::min<duration>(avoidance, longest_avoidance));
+  return !was_silent && is_silent();
+}
+
+void handshake_health::reset() { *this = {}; }
+
+}  // namespace rosemarydrum
--- /dev/null
+++ b/src/forwarding/route_table.cc
@@ -0,0 +1,53 @@
+#include "rosemarydrum/forwarding/route_table.h"
+
+namespace rosemarydrum {
+namespace {
+
+std::uint64_t key_of(const endpoint& address) {
+  return (std::uint64_t{address.address} << 16) | address.port;
+}
+
+}  // namespace
+
+route_table::route_table(std::shared_ptr<const fleet_configuration> source)
+    : source_(std::move(source)) {
+  by_address_.reserve(source_->routes.size());
+  for (const auto& each : source_->routes) {
+    by_address_.emplace(key_of(each.address), &each);
+  }
+  for (const auto& each : source_->services) {
+    by_name_.emplace(each.name, &each);
+  }
+}
+
+const route* route_table::find(const endpoint& address) const {
+  const auto found = by_address_.find(key_of(address));
+  return found == by_address_.end() ? nullptr : found->second;
+}
+
+const fleet_service& route_table::service(const std::string& name) const {
+  static const fleet_service unlisted;
+  const auto found = by_name_.find(name);
+  return found == by_name_.end() ? unlisted : *found->second;
+}
+
+const route_target* route_table::target_for(const route& from,
+                                            std::uint64_t draw) {
+  std::uint64_t total = 0;
+  for (const auto& each : from.targets) {
+    total += each.weight;
+  }
+  if (total == 0) {
+    return nullptr;
+  }
+  auto left = draw % total;
+  for (const auto& each : from.targets) {
+    if (left < each.weight) {
+      return &each;
+    }
+    left -= each.weight;
+  }
+  return nullptr;
+}
+
+}  // namespace rosemarydrum
--- /dev/null
+++ b/src/forwarding/upstream_directory.cc
@@ -0,0 +1,178 @@
+#include "rosemarydrum/forwarding/upstream_directory.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace rosemarydrum {
+namespace {
+
+constexpr std::uint64_t largest_plain_tag = 0xffff'ffff;
+
+}  // namespace
+
+upstream_directory::upstream_directory(duration flow_lifetime)
+    : flow_lifetime_(flow_lifetime) {}
+
+upstream_tag upstream_directory::tag_of(upstream_key key) {
+  const auto number = value_of(key);
+  const auto folded =
+      number <= largest_plain_tag
+          ? static_cast<std::uint32_t>(number)
+          : static_cast<std::uint32_t>(detail::mix(0, number) >> 32);
+  return upstream_tag(folded == 0 ? 1 : folded);
+}
+
+std::optional<upstream_index> upstream_directory::apply(
+    const upstream_change& change, revision changed, time_point now) {
+  auto index = find(change.record.key);
+  if (!index) {
+    if (change.state != record_state::present) {
+      return std::nullopt;
+    }
+    index = insert(change.record, now);
+  }
+  auto& known = *upstreams_[value_of(*index)];
+  if (known.changed >= changed) {
+    return std::nullopt;
+  }
+  if (change.state == record_state::removed) {
+    mark_gone(known, changed, now);
+    return index;
+  }
+  known.changed = changed;
+  if (change.state == record_state::unreadable) {
+    known.state = listing::unreadable;
+    return index;
+  }
+  if (known.record.service != change.record.service) {
+    move_to_service(*index, change.record.service);
+  }
+  known.record = change.record;
+  known.state = listing::listed;
+  known.cold_until = now + change.record.cold_left;
+  settle_tag(known.tag);
+  return index;
+}
+
+std::vector<upstream_index> upstream_directory::keep_only(
+    std::span<const upstream_key> present, revision at, time_point now) {
+  std::unordered_set<std::uint64_t> kept;
+  for (const auto key : present) {
+    kept.insert(value_of(key));
+  }
+  std::vector<upstream_index> gone;
+  for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+    auto& known = upstreams_[i];
+    if (known && known->state != listing::gone && known->changed <= at &&
+        !kept.contains(value_of(known->record.key))) {
+      mark_gone(*known, at, now);
+      gone.push_back(upstream_index(static_cast<std::uint32_t>(i)));
+    }
+  }
+  return gone;
+}
+
+std::optional<upstream_index> upstream_directory::find(upstream_key key) const {
+  const auto found = by_key_.find(value_of(key));
+  return found == by_key_.end() ? std::nullopt
+                                : std::optional(found->second);
+}
+
+std::optional<upstream_index> upstream_directory::find(upstream_tag tag) const {
+  const auto found = by_tag_.find(value_of(tag));
+  return found == by_tag_.end() ? std::nullopt
+                                : std::optional(found->second.front());
+}
+
+std::span<const upstream_index> upstream_directory::of_service(
+    const std::string& service) const {
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? std::span<const upstream_index>{}
+                                    : found->second;
+}
+
+bool upstream_directory::is_due(const std::optional<known_upstream>& known,
+                                time_point now) const {
+  return known && known->state == listing::gone &&
+         now - known->gone_at >= flow_lifetime_;
+}
+
+upstream_index upstream_directory::insert(const upstream_record& record,
+                                          time_point now) {
+  std::uint32_t position = 0;
+  if (free_.empty()) {
+    position = static_cast<std::uint32_t>(upstreams_.size());
+    upstreams_.emplace_back();
+  } else {
+    position = free_.back();
+    free_.pop_back();
+  }
+  const auto index = upstream_index(position);
+  const auto tag = tag_of(record.key);
+  upstreams_[position] = known_upstream{
+      record, {}, listing::listed, tag, false, now + record.cold_left, {}};
+  by_key_[value_of(record.key)] = index;
+  by_tag_[value_of(tag)].push_back(index);
+  by_service_[record.service].push_back(index);
+  return index;
+}
+
+void upstream_directory::move_to_service(upstream_index index,
+                                         const std::string& service) {
+  leave_service(index);
+  by_service_[service].push_back(index);
+}
+
+void upstream_directory::leave_service(upstream_index index) {
+  const auto found = by_service_.find(at(index).record.service);
+  if (found == by_service_.end()) {
+    return;
+  }
+  std::erase(found->second, index);
+  if (found->second.empty()) {
+    by_service_.erase(found);
+  }
+}
+
+void upstream_directory::mark_gone(known_upstream& known, revision changed,
+                                   time_point now) {
+  known.changed = changed;
+  known.state = listing::gone;
+  known.gone_at = now;
+}
+
+// Upstreams with one tag are told apart by their age: the oldest start keeps
+// the tag, and the others get no new flows. All processes agree on it, because
+// key and start are in the record.
+void upstream_directory::settle_tag(upstream_tag tag) {
+  auto& sharing = by_tag_[value_of(tag)];
+  if (sharing.size() < 2) {
+    return;
+  }
+  std::sort(sharing.begin(), sharing.end(), [this](auto left, auto right) {
+    const auto& a = at(left).record;
+    const auto& b = at(right).record;
+    return std::pair(a.run, a.key) < std::pair(b.run, b.key);
+  });
+  for (std::size_t i = 0; i < sharing.size(); ++i) {
+    upstreams_[value_of(sharing[i])]->tag_is_taken = i > 0;
+  }
+}
+
+void upstream_directory::erase(std::size_t position) {
+  const auto index = upstream_index(static_cast<std::uint32_t>(position));
+  const auto tag = at(index).tag;
+  by_key_.erase(value_of(at(index).record.key));
+  leave_service(index);
+  auto& sharing = by_tag_[value_of(tag)];
+  std::erase(sharing, index);
+  if (sharing.empty()) {
+    by_tag_.erase(value_of(tag));
+  } else {
+    upstreams_[value_of(sharing.front())]->tag_is_taken = false;
+  }
+  upstreams_[position].reset();
+  free_.push_back(static_cast<std::uint32_t>(position));
+}
+
+}  // namespace rosemarydrum
--- a/src/runtime_clock.cc
+++ b/src/runtime_clock.cc
@@ -1,6 +1,7 @@
 #include "rosemarydrum/runtime_clock.h"
 
 #include <atomic>
+#include <ctime>
 
 namespace rosemarydrum {
 namespace {
@@ -8,9 +9,13 @@
 constexpr duration::rep not_held = -1;
 std::atomic<duration::rep> held_at{not_held};
 
+// The standard's steady clock does not count the time of a suspension, during
+// which leases run out and beliefs grow old.
 duration::rep steady_now() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return std::chrono::duration_cast<duration>(
-             std::chrono::steady_clock::now().time_since_epoch())
+             seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec))
       .count();
 }
 
@@ -32,6 +37,10 @@
   return time_point(duration(held == not_held ? steady_now() : held));
 }
 
+bool runtime_clock::is_held() noexcept {
+  return held_at.load(std::memory_order_acquire) != not_held;
+}
+
 unix_ms runtime_clock::to_unix(time_point at) noexcept {
   const auto since_epoch = at.time_since_epoch().count();
   const bool held = held_at.load(std::memory_order_acquire) != not_held;
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -4,6 +4,7 @@
 #include <map>
 #include <sstream>
 
+#include "rosemarydrum/address_text.h"
 #include "rosemarydrum/number_text.h"
 #include "settings_check.h"
 
@@ -62,7 +63,7 @@
     return static_cast<Number>(parse_number(first(name)).value_or(0));
   }
   endpoint address(const std::string& name) {
-    return detail::parse_address(first(name)).value_or(endpoint{});
+    return parse_endpoint(first(name), 0).value_or(endpoint{});
   }
 
  private:
@@ -107,7 +108,7 @@
     result.store = raw.address("store");
   }
   for (const auto& value : raw.all("fabric")) {
-    result.fabric.push_back(*detail::parse_address(value));
+    result.fabric.push_back(*parse_endpoint(value, 0));
   }
   result.token_secret = raw.first("token-secret");
   for (const auto& value : raw.all("peer")) {
--- a/src/settings_check.cc
+++ b/src/settings_check.cc
@@ -1,8 +1,8 @@
 #include "settings_check.h"
 
-#include <boost/asio/ip/address_v4.hpp>
 #include <sstream>
 
+#include "rosemarydrum/address_text.h"
 #include "rosemarydrum/number_text.h"
 
 namespace rosemarydrum::detail {
@@ -33,7 +33,7 @@
     case setting_type::choice:
       return is_choice(setting.choices, value);
     case setting_type::address: {
-      const auto address = parse_address(value);
+      const auto address = parse_endpoint(value, 0);
       return address && is_in_range(setting, address->port);
     }
     case setting_type::peer: {
@@ -51,28 +51,13 @@
 
 }  // namespace
 
-std::optional<endpoint> parse_address(std::string_view text) {
-  const auto colon = text.find(':');
-  if (colon == std::string_view::npos) {
-    return std::nullopt;
-  }
-  boost::system::error_code error;
-  const auto address =
-      boost::asio::ip::make_address_v4(text.substr(0, colon), error);
-  const auto port = parse_number(text.substr(colon + 1));
-  if (error || !port || *port > 65'535) {
-    return std::nullopt;
-  }
-  return endpoint{address.to_uint(), static_cast<std::uint16_t>(*port)};
-}
-
 std::optional<peer_address> parse_peer(std::string_view text) {
   const auto at = text.find('@');
   if (at == std::string_view::npos) {
     return std::nullopt;
   }
   const auto id = parse_number(text.substr(0, at));
-  const auto address = parse_address(text.substr(at + 1));
+  const auto address = parse_endpoint(text.substr(at + 1), 0);
   if (!id || *id == 0 || *id > 0xffff'ffff || !address) {
     return std::nullopt;
   }
--- a/src/settings_check.h
+++ b/src/settings_check.h
@@ -9,9 +9,6 @@
 
 namespace rosemarydrum::detail {
 
-/// Numeric "address:port"; port 0 is allowed, for listening.
-std::optional<endpoint> parse_address(std::string_view text);
-
 /// "id@address:port"; nullopt if malformed.
 std::optional<peer_address> parse_peer(std::string_view text);
 
--- a/test/bounded_ring-test.cc
+++ b/test/bounded_ring-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE bounded_ring
-#include "daemon/bounded_ring.h"
+#include "io/bounded_ring.h"
 
 #include <boost/test/unit_test.hpp>
 #include <thread>
--- a/test/deployment.h
+++ b/test/deployment.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "child_process.h"
-#include "daemon/addresses.h"
+#include "io/addresses.h"
 #include "daemon/http_config_store.h"
 #include "rosemarydrum/config_codec.h"
 
--- a/test/peer_rpc_thread-test.cc
+++ b/test/peer_rpc_thread-test.cc
@@ -9,7 +9,7 @@
 #include <functional>
 #include <thread>
 
-#include "daemon/addresses.h"
+#include "io/addresses.h"
 #include "daemon/listeners.h"
 #include "peer_rpc.capnp.h"
 
--- a/test/standins/datagram_socket.h
+++ b/test/standins/datagram_socket.h
@@ -4,7 +4,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <functional>
 
-#include "daemon/addresses.h"
+#include "io/addresses.h"
 #include "rosemarydrum/packet.h"
 
 namespace rosemarydrum::standin {
--- a/test/standins/health_probe.h
+++ b/test/standins/health_probe.h
@@ -9,7 +9,7 @@
 #include <boost/beast/http/write.hpp>
 #include <memory>
 
-#include "daemon/addresses.h"
+#include "io/addresses.h"
 #include "rosemarydrum/runtime_clock.h"
 
 namespace rosemarydrum::standin {
--- a/test/standins/store_server.h
+++ b/test/standins/store_server.h
@@ -4,7 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <vector>
 
-#include "daemon/runtime_timer.h"
+#include "io/runtime_timer.h"
 #include "rosemarydrum/config_codec.h"
 #include "standins/http_session.h"
 #include "standins/http_target.h"
--- a/test/standins/store_watches.h
+++ b/test/standins/store_watches.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <utility>
 
-#include "daemon/runtime_timer.h"
+#include "io/runtime_timer.h"
 #include "rosemarydrum/types.h"
 #include "standins/http_session.h"
 
