--- a/apps/daemon/metrics_snapshot.h
+++ b/apps/daemon/metrics_snapshot.h
@@ -1,33 +1,13 @@
 #pragma once
 
 #include <array>
-#include <boost/histogram.hpp>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
-namespace rosemarydrum {
-
-/// Seconds on a logarithmic axis from 100 ns to 10 s.
-using time_axis =
-    boost::histogram::axis::regular<double,
-                                    boost::histogram::axis::transform::log>;
-using time_histogram = decltype(boost::histogram::make_histogram(time_axis{}));
-
-inline time_histogram make_time_histogram() {
-  return boost::histogram::make_histogram(time_axis(32, 1e-7, 10.0));
-}
-
-/// A histogram and the sum of its values.
-struct timed {
-  time_histogram counts = make_time_histogram();
-  double sum = 0;
+#include "metrics/timed.h"
 
-  void add(double value) {
-    counts(value);
-    sum += value;
-  }
-};
+namespace rosemarydrum {
 
 enum class counter : std::uint8_t {
   fabric_received,
--- /dev/null
+++ b/apps/forwarder/belief_journal.cc
@@ -0,0 +1,188 @@
+#include "forwarder/belief_journal.h"
+
+#include "forwarder/log_fields.h"
+#include "rosemarydrum/address_text.h"
+#include "rosemarydrum/spread/member_codec.h"
+
+namespace rosemarydrum {
+namespace {
+
+namespace json = boost::json;
+
+}  // namespace
+
+std::int64_t belief_journal::age_ms(time_point now) const {
+  return whole_ms(now - replica_.confirmed_at());
+}
+
+void belief_journal::on_change(const fleet_change& change, time_point now) {
+  const auto revised = value_of(change.changed);
+  if (const auto* upstream = std::get_if<upstream_change>(&change.what)) {
+    const auto& record = upstream->record;
+    switch (upstream->state) {
+      case record_state::present:
+        log_.log(event_id::upstream_listed, now, [&] {
+          return json::object{{"upstream", text_of(record.key)},
+                              {"service", record.service},
+                              {"data_centre", record.data_centre},
+                              {"address", to_string(record.address)},
+                              {"cold_ms", record.cold_left.count()},
+                              {"started_ms", value_of(record.run)},
+                              {"draining", record.draining},
+                              {"revision", revised}};
+        });
+        return;
+      case record_state::unreadable:
+        log_.log(event_id::upstream_unreadable, now, [&] {
+          return json::object{{"upstream", text_of(record.key)},
+                              {"revision", revised}};
+        });
+        return;
+      case record_state::removed:
+        log_.log(event_id::upstream_gone, now, [&] {
+          return json::object{{"upstream", text_of(record.key)},
+                              {"grace_ms", upstream->grace.count()},
+                              {"revision", revised}};
+        });
+        return;
+    }
+  }
+  if (const auto* routes = std::get_if<configuration_change>(&change.what)) {
+    configuration_ = routes->value->version;
+    log_.log(event_id::configuration_applied, now, [&] {
+      return json::object{{"configuration", configuration_},
+                          {"routes", routes->value->routes.size()},
+                          {"revision", revised},
+                          {"age_ms", age_ms(now)}};
+    });
+  } else if (const auto* state =
+                 std::get_if<data_centre_change>(&change.what)) {
+    log_.log(state->out ? event_id::data_centre_out : event_id::data_centre_in,
+             now, [&] {
+               return json::object{{"data_centre", state->name},
+                                   {"configuration", configuration_},
+                                   {"revision", revised}};
+             });
+  }
+}
+
+void belief_journal::on_rejected(revision changed, time_point now) {
+  log_.log(event_id::document_rejected, now, [&] {
+    return json::object{{"configuration", configuration_},
+                        {"revision", value_of(changed)}};
+  });
+}
+
+void belief_journal::on_member(const kv_item& item, time_point now) {
+  const auto member = item.removed ? std::nullopt
+                                   : decode_member(item.key, item.value);
+  if (member) {
+    log_.log(event_id::member_listed, now, [&] {
+      return json::object{{"member", member->name},
+                          {"data_centre", member->data_centre},
+                          {"address", to_string(member->address)},
+                          {"revision", value_of(item.changed)}};
+    });
+    return;
+  }
+  log_.log(event_id::member_removed, now, [&] {
+    return json::object{{"member", item.key.substr(members_prefix.size())},
+                        {"revision", value_of(item.changed)}};
+  });
+}
+
+void belief_journal::on_registered(bool written, time_point now) {
+  log_.log(event_id::member_registered, now,
+           [&] { return json::object{{"written", written}}; });
+}
+
+void belief_journal::on_store(error_kind error, time_point now) {
+  const bool answers = error == error_kind::none;
+  if (answers == store_answers_) {
+    return;
+  }
+  store_answers_ = answers;
+  if (!answers) {
+    store_lost_at_ = now;
+    log_.log(event_id::store_lost, now, [&] {
+      return json::object{{"error", answer_of(error).name},
+                          {"revision", value_of(replica_.at())},
+                          {"age_ms", age_ms(now)}};
+    });
+    return;
+  }
+  log_.log(event_id::store_back, now, [&] {
+    return json::object{{"lost_ms", whole_ms(now - store_lost_at_)},
+                        {"revision", value_of(replica_.at())}};
+  });
+}
+
+void belief_journal::on_state(bool fresh, bool reading, std::size_t rank,
+                              time_point now) {
+  if (fresh != fresh_) {
+    fresh_ = fresh;
+    if (fresh) {
+      log_.log(event_id::knowledge_fresh, now, [&] {
+        return json::object{{"revision", value_of(replica_.at())},
+                            {"stale_ms", whole_ms(now - stale_since_)}};
+      });
+    } else {
+      stale_since_ = now;
+      log_.log(event_id::knowledge_stale, now, [&] {
+        return json::object{{"revision", value_of(replica_.at())},
+                            {"age_ms", age_ms(now)}};
+      });
+    }
+  }
+  if (reading != reading_) {
+    reading_ = reading;
+    const auto id = reading ? event_id::store_reading_started
+                            : event_id::store_reading_stopped;
+    log_.log(id, now, [&] {
+      json::object fields{{"revision", value_of(replica_.at())},
+                          {"age_ms", age_ms(now)}};
+      if (reading) {
+        fields["rank"] = rank;
+      }
+      return fields;
+    });
+  }
+}
+
+void belief_journal::on_readiness(bool ready, std::string_view reason,
+                                  time_point now) {
+  if (ready == ready_) {
+    return;
+  }
+  ready_ = ready;
+  if (ready && !was_ready_) {
+    was_ready_ = true;
+    log_.log(event_id::process_ready, now, [&] {
+      return json::object{{"configuration", configuration_},
+                          {"revision", value_of(replica_.at())}};
+    });
+    return;
+  }
+  log_.log(event_id::ready_changed, now, [&] {
+    return json::object{{"ready", ready}, {"reason", reason}};
+  });
+}
+
+void belief_journal::on_summary(std::size_t members, std::uint64_t flows,
+                                time_point now) {
+  log_.log(event_id::knowledge_confirmed, now, [&] {
+    return json::object{{"revision", value_of(replica_.at())},
+                        {"age_ms", age_ms(now)},
+                        {"members", members},
+                        {"flows", flows}};
+  });
+}
+
+void belief_journal::on_stall(duration stalled, time_point now) {
+  log_.log(event_id::process_stalled, now, [&] {
+    return json::object{{"thread", "control"},
+                        {"stalled_ms", whole_ms(stalled)}};
+  });
+}
+
+}  // namespace rosemarydrum
--- /dev/null
+++ b/apps/forwarder/belief_journal.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <cstdint>
+
+#include "log/event_logger.h"
+#include "rosemarydrum/error_kind.h"
+#include "rosemarydrum/forwarding/fleet_change.h"
+#include "rosemarydrum/spread/replica_spread.h"
+#include "rosemarydrum/store/item_replica.h"
+
+namespace rosemarydrum {
+
+/// Logs each change of what the control thread believes.
+class belief_journal {
+ public:
+  belief_journal(event_logger& log, const item_replica& replica)
+      : log_(log), replica_(replica) {}
+
+  void on_change(const fleet_change& change, time_point now);
+  /// A configuration that cannot be read.
+  void on_rejected(revision changed, time_point now);
+  void on_member(const kv_item& item, time_point now);
+  void on_registered(bool written, time_point now);
+
+  /// Called after each answer of the store or failure to get one.
+  void on_store(error_kind error, time_point now);
+  /// Called regularly; logs what differs from the last call.
+  void on_state(bool fresh, bool reading, std::size_t rank, time_point now);
+  void on_readiness(bool ready, std::string_view reason, time_point now);
+  /// Once a minute.
+  void on_summary(std::size_t members, std::uint64_t flows, time_point now);
+  void on_stall(duration stalled, time_point now);
+
+ private:
+  std::int64_t age_ms(time_point now) const;
+
+  event_logger& log_;
+  const item_replica& replica_;
+  bool store_answers_ = true;
+  time_point store_lost_at_;
+  bool fresh_ = true;
+  time_point stale_since_;
+  bool reading_ = false;
+  bool ready_ = false;
+  bool was_ready_ = false;
+  std::uint64_t configuration_ = 0;
+};
+
+}  // namespace rosemarydrum
--- a/apps/forwarder/data_loop.cc
+++ b/apps/forwarder/data_loop.cc
@@ -1,5 +1,6 @@
 #include "forwarder/data_loop.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 
 #include "io/addresses.h"
@@ -13,45 +14,59 @@
 constexpr int max_batch = 64;
 constexpr milliseconds tick_interval{50};
 constexpr milliseconds sweep_interval{200};
-/// A loop that comes this late has not run for a while.
+constexpr milliseconds report_interval{1000};
+/// A timer that runs this late shows that the thread has not run for a while.
 constexpr milliseconds stall_time{400};
 
 }  // namespace
 
 data_loop::data_loop(asio::io_context& context, asio::ip::udp::socket socket,
                      const flow_codec& codec, forwarder_settings settings,
-                     forwarder_rings& joined)
+                     forwarder_rings& joined, event_logger log)
     : context_(context),
       socket_(std::move(socket)),
       codec_(codec),
-      core_(std::move(settings)),
       rings_(joined),
+      log_(std::move(log)),
+      journal_(log_, metrics_),
+      core_(std::move(settings), codec, journal_),
       timer_(context),
       buffer_(codec.headroom() + max_datagram),
       caller_port_(socket_.local_endpoint().port()) {
-  rings_.to_data.on_push(
-      [this] { asio::post(context_, [this] { take_updates(); }); });
+  rings_.to_data.on_push([this] {
+    asio::post(context_, [this] {
+      rings_.to_data.drain([this](control_update&& update) {
+        take_update(std::move(update));
+      });
+    });
+  });
 }
 
 void data_loop::start() {
-  last_wake_ = runtime_clock::now();
+  last_tick_ = runtime_clock::now();
   wait_readable();
   wait_tick();
 }
 
-void data_loop::take_updates() {
-  rings_.to_data.drain([this](control_update&& update) {
-    const auto now = runtime_clock::now();
-    for (const auto& change : update.changes) {
-      core_.on_change(change, now);
-    }
-    if (update.members) {
-      core_.set_members(std::move(*update.members));
-    }
-    if (update.reconnected) {
-      core_.on_reconnected();
-    }
-  });
+void data_loop::take_update(control_update&& update) {
+  const auto now = runtime_clock::now();
+  for (const auto& change : update.changes) {
+    core_.on_change(change, now);
+  }
+  if (update.members) {
+    core_.set_members(std::move(*update.members));
+  }
+  if (update.reconnected) {
+    core_.on_reconnected();
+  }
+  if (update.log_flows) {
+    log_.set_limit(event_id::flow_opened, *update.log_flows);
+  }
+  if (update.log_severity) {
+    log_.set_severity(*update.log_severity);
+  }
+  journal_.set_belief(
+      {core_.routes().version(), update.known, update.confirmed_at});
 }
 
 void data_loop::wait_readable() {
@@ -81,37 +96,48 @@
 }
 
 void data_loop::on_datagram(std::size_t size, time_point now) {
+  ++metrics_.packets_received;
+  packets_received_.store(metrics_.packets_received,
+                          std::memory_order_relaxed);
   const bytes_view datagram(buffer_.data() + codec_.headroom(), size);
   const auto packet = codec_.decode(datagram);
   if (!packet) {
+    journal_.on_malformed(now);
     return;
   }
   const auto verdict = core_.on_packet(*packet, now);
-  if (verdict.fate == packet_fate::reset) {
-    boost::system::error_code ignored;
-    socket_.send_to(asio::buffer(codec_.reset_for(*packet)),
-                    to_udp({packet->flow.caller.address, caller_port_}), 0,
-                    ignored);
-    return;
+  switch (verdict.fate) {
+    case packet_fate::forward:
+      send_on(verdict, size);
+      return;
+    case packet_fate::reset:
+      send_reset(*packet);
+      return;
+    case packet_fate::discard:
+      return;
   }
-  carry_out(verdict, size);
 }
 
-void data_loop::carry_out(const packet_verdict& verdict, std::size_t size) {
-  if (verdict.fate != packet_fate::forward) {
-    return;
-  }
+void data_loop::send_on(const packet_verdict& verdict, std::size_t size) {
   codec_.address_to(buffer_, verdict.upstream, verdict.tag);
-  boost::system::error_code ignored;
+  boost::system::error_code error;
   socket_.send_to(asio::buffer(buffer_.data(), codec_.headroom() + size),
-                  to_udp(verdict.to), 0, ignored);
+                  to_udp(verdict.to), 0, error);
+  ++(error ? metrics_.sends_failed : metrics_.packets_forwarded);
+}
+
+void data_loop::send_reset(const flow_packet& cause) {
+  boost::system::error_code error;
+  socket_.send_to(asio::buffer(codec_.reset_for(cause)),
+                  to_udp({cause.flow.caller.address, caller_port_}), 0, error);
+  metrics_.sends_failed += error ? 1 : 0;
 }
 
 void data_loop::repeat_openings(time_point now) {
   for (const auto& each : core_.repeat_openings(now)) {
     std::copy(each.datagram.begin(), each.datagram.end(),
               buffer_.begin() + static_cast<std::ptrdiff_t>(codec_.headroom()));
-    carry_out(each.verdict, each.datagram.size());
+    send_on(each.verdict, each.datagram.size());
   }
 }
 
@@ -126,17 +152,36 @@
 }
 
 void data_loop::tick(time_point now) {
-  if (now - last_wake_ > stall_time) {
+  const auto late = now - last_tick_ - tick_interval;
+  last_tick_ = now;
+  metrics_.lateness.add(std::max<duration>(late, duration(0)));
+  if (late > stall_time) {
+    journal_.on_stall(late, now);
     core_.on_stall();
   }
-  last_wake_ = now;
   repeat_openings(now);
   if (now >= next_sweep_) {
     next_sweep_ = now + sweep_interval;
     core_.tick(now);
   }
-  if (const bool unable = core_.is_unable(now); unable != told_unable_) {
-    told_unable_ = rings_.to_control.push({unable}) ? unable : told_unable_;
+  const auto& ability = core_.ability();
+  const bool unable = ability.is_unable(now);
+  if (unable != was_unable_) {
+    journal_.on_ability(unable, ability.opened(), ability.failed(),
+                        ability.unable_until() - now, now);
+  }
+  if (unable != was_unable_ || now >= next_report_) {
+    was_unable_ = unable;
+    report(now);
+  }
+}
+
+void data_loop::report(time_point now) {
+  next_report_ = now + report_interval;
+  metrics_.flows = core_.flow_count();
+  if (!rings_.to_control.push({was_unable_, metrics_})) {
+    // The control thread is behind; it gets the next one.
+    next_report_ = now + tick_interval;
   }
 }
 
--- a/apps/forwarder/data_loop.h
+++ b/apps/forwarder/data_loop.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <vector>
 
+#include "forwarder/flow_journal.h"
 #include "forwarder/forwarder_rings.h"
 #include "io/runtime_timer.h"
 #include "rosemarydrum/forwarding/flow_codec.h"
@@ -17,29 +19,42 @@
   /// `socket` is bound and non-blocking; callers take packets at its port.
   data_loop(boost::asio::io_context& context,
             boost::asio::ip::udp::socket socket, const flow_codec& codec,
-            forwarder_settings settings, forwarder_rings& joined);
+            forwarder_settings settings, forwarder_rings& joined,
+            event_logger log);
 
   void start();
+  /// Packets received so far; may be called in any thread.
+  std::uint64_t packets_received() const {
+    return packets_received_.load(std::memory_order_relaxed);
+  }
 
  private:
   void wait_readable();
   void receive_batch();
   void on_datagram(std::size_t size, time_point now);
-  void carry_out(const packet_verdict& verdict, std::size_t size);
+  /// Sends the packet of `size` bytes in the buffer to its upstream.
+  void send_on(const packet_verdict& verdict, std::size_t size);
+  void send_reset(const flow_packet& cause);
   void repeat_openings(time_point now);
   void wait_tick();
   void tick(time_point now);
-  void take_updates();
+  void take_update(control_update&& update);
+  void report(time_point now);
 
   boost::asio::io_context& context_;
   boost::asio::ip::udp::socket socket_;
   const flow_codec& codec_;
-  forwarder core_;
   forwarder_rings& rings_;
+  event_logger log_;
+  data_metrics metrics_;
+  flow_journal journal_;
+  forwarder core_;
   runtime_timer timer_;
-  time_point last_wake_;
+  time_point last_tick_;
   time_point next_sweep_;
-  bool told_unable_ = false;
+  time_point next_report_;
+  bool was_unable_ = false;
+  std::atomic<std::uint64_t> packets_received_{0};
   std::vector<std::uint8_t> buffer_;
   std::uint16_t caller_port_;
 };
--- /dev/null
+++ b/apps/forwarder/flow_journal.cc
@@ -0,0 +1,198 @@
+#include "forwarder/flow_journal.h"
+
+#include "forwarder/log_fields.h"
+
+namespace rosemarydrum {
+namespace {
+
+namespace json = boost::json;
+
+std::size_t index_of(fate_reason reason) {
+  return static_cast<std::size_t>(reason);
+}
+
+}  // namespace
+
+json::object flow_journal::with_belief(json::object fields,
+                                       time_point now) const {
+  fields["configuration"] = belief_.configuration;
+  fields["revision"] = value_of(belief_.known);
+  fields["age_ms"] = whole_ms(now - belief_.confirmed_at);
+  return fields;
+}
+
+void flow_journal::on_handshake(const open_flow& flow, time_point now) {
+  ++metrics_.flows_opened;
+  ++metrics_.placed[static_cast<std::size_t>(flow.choice.reason)];
+  metrics_.handshake.add(now - flow.began);
+}
+
+void flow_journal::on_opened(const open_flow& flow,
+                             const known_upstream& upstream, time_point now) {
+  metrics_.first_data.add(now - flow.began);
+  log_.log(event_id::flow_opened, now, [&] {
+    return with_belief(
+        {{"request", flow.request},
+         {"flow", text_of(flow.ends)},
+         {"route", flow.route},
+         {"upstream", text_of(upstream.record.key)},
+         {"service", upstream.record.service},
+         {"data_centre", upstream.record.data_centre},
+         {"reason", name_of(flow.choice.reason)},
+         {"in_flight", flow.choice.in_flight},
+         {"candidates", flow.choice.candidates},
+         {"attempts", flow.attempts},
+         {"handshake_us", (flow.opened_at - flow.began).count()}},
+        now);
+  });
+}
+
+void flow_journal::on_placed_again(const open_flow& flow,
+                                   const known_upstream& upstream,
+                                   const known_upstream& silent,
+                                   duration waited, repeat_cause cause,
+                                   time_point now) {
+  ++metrics_.placed_again;
+  log_.log(event_id::flow_placed_again, now, [&] {
+    return with_belief(
+        {{"flow", text_of(flow.ends)},
+         {"route", flow.route},
+         {"cause",
+          cause == repeat_cause::timeout ? "timeout" : "callers_copy"},
+         {"unanswered", text_of(silent.record.key)},
+         {"upstream", text_of(upstream.record.key)},
+         {"in_flight", flow.choice.in_flight},
+         {"candidates", flow.choice.candidates},
+         {"attempts", flow.attempts},
+         {"waited_us", waited.count()}},
+        now);
+  });
+}
+
+void flow_journal::on_refused(const flow_packet& packet, fate_reason reason,
+                              const std::string& route,
+                              const std::string& service,
+                              const upstream_census& census, time_point now) {
+  ++metrics_.resets[index_of(reason)];
+  log_.log(event_id::flow_refused, now, [&] {
+    return with_belief({{"flow", text_of(packet.flow)},
+                        {"route", route},
+                        {"reason", name_of(reason)},
+                        {"service", service},
+                        {"listed", census.listed},
+                        {"draining", census.draining},
+                        {"cold", census.cold},
+                        {"silent", census.silent},
+                        {"out", census.out}},
+                       now);
+  });
+}
+
+void flow_journal::on_unanswered(const open_flow& flow,
+                                 const known_upstream& upstream,
+                                 time_point now) {
+  ++metrics_.flows_unanswered;
+  log_.log(event_id::flow_unanswered, now, [&] {
+    return with_belief({{"flow", text_of(flow.ends)},
+                        {"route", flow.route},
+                        {"upstream", text_of(upstream.record.key)},
+                        {"attempts", flow.attempts},
+                        {"waited_us", (now - flow.began).count()}},
+                       now);
+  });
+}
+
+void flow_journal::on_discarded(const flow_packet& packet, fate_reason reason,
+                                time_point now) {
+  ++metrics_.discarded[index_of(reason)];
+  log_.log(event_id::flow_discarded, now, [&] {
+    return with_belief({{"flow", text_of(packet.flow)},
+                        {"reason", name_of(reason)},
+                        {"tag", value_of(packet.tag)}},
+                       now);
+  });
+}
+
+void flow_journal::on_malformed(time_point now) {
+  ++metrics_.discarded[index_of(fate_reason::malformed)];
+  log_.log(event_id::flow_discarded, now, [&] {
+    return with_belief({{"reason", name_of(fate_reason::malformed)}}, now);
+  });
+}
+
+void flow_journal::on_ended(const open_flow& flow,
+                            const known_upstream& upstream, time_point now) {
+  ++metrics_.flows_ended;
+  const auto took = now - flow.began;
+  metrics_.flow_time.add(took);
+  if (flow.objective.count() == 0 || took <= flow.objective) {
+    return;
+  }
+  log_.log(event_id::flow_slow, now, [&] {
+    return with_belief(
+        {{"request", flow.request},
+         {"flow", text_of(flow.ends)},
+         {"route", flow.route},
+         {"upstream", text_of(upstream.record.key)},
+         {"service", upstream.record.service},
+         {"attempts", flow.attempts},
+         {"handshake_us", (flow.opened_at - flow.began).count()},
+         {"first_data_us", (flow.first_data_at - flow.began).count()},
+         {"duration_us", took.count()},
+         {"objective_ms", flow.objective.count()},
+         {"in_flight", flow.choice.in_flight}},
+        now);
+  });
+}
+
+void flow_journal::on_silent(const open_flow& flow,
+                             const known_upstream& upstream, int unanswered,
+                             time_point now) {
+  ++metrics_.upstreams_silent;
+  log_.log(event_id::upstream_silent, now, [&] {
+    return with_belief({{"upstream", text_of(upstream.record.key)},
+                        {"service", upstream.record.service},
+                        {"data_centre", upstream.record.data_centre},
+                        {"flow", text_of(flow.ends)},
+                        {"unanswered", unanswered}},
+                       now);
+  });
+}
+
+void flow_journal::on_answers(const open_flow& flow,
+                              const known_upstream& upstream, duration spared,
+                              time_point now) {
+  ++metrics_.upstreams_answered;
+  log_.log(event_id::upstream_answers, now, [&] {
+    return with_belief({{"upstream", text_of(upstream.record.key)},
+                        {"service", upstream.record.service},
+                        {"data_centre", upstream.record.data_centre},
+                        {"flow", text_of(flow.ends)},
+                        {"spared_ms", whole_ms(spared)}},
+                       now);
+  });
+}
+
+void flow_journal::on_stall(duration stalled, time_point now) {
+  ++metrics_.stalls;
+  log_.log(event_id::process_stalled, now, [&] {
+    return json::object{{"thread", "data"}, {"stalled_ms", whole_ms(stalled)}};
+  });
+}
+
+void flow_journal::on_ability(bool unable, int opened, int failed,
+                              duration pause, time_point now) {
+  if (!unable) {
+    log_.log(event_id::service_able, now,
+             [&] { return with_belief({}, now); });
+    return;
+  }
+  log_.log(event_id::service_unable, now, [&] {
+    return with_belief({{"opened", opened},
+                        {"failed", failed},
+                        {"pause_ms", whole_ms(pause)}},
+                       now);
+  });
+}
+
+}  // namespace rosemarydrum
--- /dev/null
+++ b/apps/forwarder/forwarder_metrics.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+#include "metrics/timed.h"
+#include "rosemarydrum/forwarding/packet_verdict.h"
+#include "rosemarydrum/forwarding/placed.h"
+
+namespace rosemarydrum {
+
+/// Figures of the data thread since the start of the process.
+struct data_metrics {
+  std::uint64_t packets_received = 0;
+  std::uint64_t packets_forwarded = 0;
+  std::uint64_t sends_failed = 0;
+  std::array<std::uint64_t, static_cast<std::size_t>(fate_reason::count)>
+      discarded{};
+  std::array<std::uint64_t, static_cast<std::size_t>(fate_reason::count)>
+      resets{};
+  std::array<std::uint64_t, placement_reason_names.size()> placed{};
+  std::uint64_t placed_again = 0;
+  std::uint64_t flows_opened = 0;
+  std::uint64_t flows_ended = 0;
+  std::uint64_t flows_unanswered = 0;
+  std::uint64_t upstreams_silent = 0;
+  std::uint64_t upstreams_answered = 0;
+  std::uint64_t stalls = 0;
+  /// Flows now.
+  std::uint64_t flows = 0;
+  /// From a flow's first packet to the caller's answer to the upstream.
+  timed handshake;
+  /// From a flow's first packet to the first data of its caller.
+  timed first_data;
+  /// From a flow's first packet to its end by the caller.
+  timed flow_time;
+  /// How late the thread's timer ran.
+  timed lateness;
+};
+
+/// Figures of the control thread at one moment.
+struct control_metrics {
+  bool ready = false;
+  bool reading = false;
+  std::uint64_t configuration = 0;
+  std::uint64_t revision = 0;
+  double knowledge_age_seconds = 0;
+  std::uint64_t members = 0;
+  std::uint64_t items = 0;
+  std::uint64_t messages_sent = 0;
+  std::uint64_t messages_received = 0;
+  std::uint64_t messages_malformed = 0;
+  std::uint64_t log_lines_dropped = 0;
+};
+
+}  // namespace rosemarydrum
--- /dev/null
+++ b/apps/forwarder/forwarder_platform.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "rosemarydrum/forwarding/fleet_schema.h"
+#include "rosemarydrum/forwarding/flow_codec.h"
+#include "rosemarydrum/store/kv_store.h"
+#include "rosemarydrum/types.h"
+
+namespace rosemarydrum {
+
+/// What a forwarder needs of the platform that it runs on.
+struct forwarder_platform {
+  const flow_codec& codec;
+  const fleet_schema& schema;
+  /// A client of the store at an address, on the context's thread.
+  std::function<std::unique_ptr<kv_store>(boost::asio::io_context&,
+                                          const endpoint&)>
+      open_store;
+  /// Target of the fabric's readiness checks.
+  std::string ready_target;
+  /// Settings file if no setting names one; may be empty.
+  std::string settings_file;
+};
+
+}  // namespace rosemarydrum
--- /dev/null
+++ b/apps/forwarder/measured_store.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <array>
+#include <map>
+#include <string_view>
+#include <utility>
+
+#include "metrics/metrics_page.h"
+#include "metrics/timed.h"
+#include "rosemarydrum/store/kv_store.h"
+
+namespace rosemarydrum {
+
+/// Passes calls on to a store and counts them by kind and outcome.
+class measured_store : public kv_store {
+ public:
+  explicit measured_store(kv_store& inner) : inner_(inner) {}
+
+  void get(const std::string& key, read_freshness freshness,
+           callback<kv_read> done) override;
+  void list(const std::string& prefix, const std::string& after,
+            read_freshness freshness, callback<kv_read> done) override;
+  void watch(const std::string& prefix, revision after, milliseconds wait,
+             callback<kv_events> done) override;
+  void write(const kv_transaction& wanted, callback<kv_written> done) override;
+  void grant_lease(milliseconds time_to_live, callback<kv_lease> done) override;
+  void keep_lease(lease_id lease, callback<kv_lease> done) override;
+  void end_lease(lease_id lease, callback<kv_lease> done) override;
+
+  void append_to(metrics_page& page) const;
+
+ private:
+  enum class kind : std::uint8_t {
+    get,
+    stale_get,
+    list,
+    stale_list,
+    watch,
+    write,
+    lease,
+    count
+  };
+  static constexpr std::size_t kinds = static_cast<std::size_t>(kind::count);
+  static constexpr std::array<std::string_view, kinds> kind_names{
+      {"get", "stale_get", "list", "stale_list", "watch", "write", "lease"}};
+
+  /// `done` after the call was counted.
+  template <typename Result>
+  callback<Result> counted(kind which, callback<Result> done);
+
+  kv_store& inner_;
+  std::map<std::pair<kind, error_kind>, std::uint64_t> calls_;
+  /// All calls but watches, which wait on purpose.
+  timed call_time_;
+};
+
+}  // namespace rosemarydrum
--- /dev/null
+++ b/apps/forwarder/settings_source.cc
@@ -0,0 +1,117 @@
+#include "forwarder/settings_source.h"
+
+#include <fstream>
+#include <iterator>
+#include <optional>
+
+namespace rosemarydrum {
+namespace {
+
+constexpr std::string_view file_flag = "--settings-file";
+constexpr std::string_view file_setting = "settings-file";
+
+/// The file that a flag or the environment names.
+std::optional<std::string> named_file(const std::vector<std::string>& arguments,
+                                      const environment& variables) {
+  for (std::size_t i = 0; i < arguments.size(); ++i) {
+    const std::string_view word = arguments[i];
+    if (word == file_flag && i + 1 < arguments.size()) {
+      return arguments[i + 1];
+    }
+    if (word.starts_with(file_flag) && word.size() > file_flag.size() &&
+        word[file_flag.size()] == '=') {
+      return std::string(word.substr(file_flag.size() + 1));
+    }
+  }
+  const char* value = variables(environment_name(file_setting).c_str());
+  return value == nullptr ? std::nullopt : std::optional<std::string>(value);
+}
+
+std::optional<std::string> read_text(const std::string& file) {
+  std::ifstream stream(file);
+  if (!stream) {
+    return std::nullopt;
+  }
+  return std::string(std::istreambuf_iterator<char>(stream), {});
+}
+
+}  // namespace
+
+settings_source::settings_source(std::vector<std::string> arguments,
+                                 environment variables,
+                                 std::string default_file)
+    : arguments_(std::move(arguments)),
+      variables_(std::move(variables)),
+      file_(named_file(arguments_, variables_)
+                .value_or(std::move(default_file))) {}
+
+std::variant<forwarder_options, field_error> settings_source::load() {
+  if (!file_.empty()) {
+    auto text = read_text(file_);
+    if (!text) {
+      return field_error{"--" + std::string(file_setting), file_,
+                         "a file that can be read",
+                         "set --" + std::string(file_setting) + " or " +
+                             environment_name(file_setting)};
+    }
+    loaded_text_ = std::move(*text);
+  }
+  auto loaded =
+      load_settings(program::forwarder, arguments_, variables_, loaded_text_);
+  if (auto* wrong = std::get_if<field_error>(&loaded)) {
+    return std::move(*wrong);
+  }
+  return std::get<settings>(std::move(loaded)).forwarder;
+}
+
+bool settings_source::has_changed() const {
+  if (file_.empty()) {
+    return false;
+  }
+  const auto text = read_text(file_);
+  // A file that is being replaced is read at the next check.
+  return text && !text->empty() && *text != loaded_text_;
+}
+
+settings_difference difference(const forwarder_options& before,
+                               const forwarder_options& after) {
+  settings_difference found;
+  const auto compare = [](bool same, const char* name,
+                          std::vector<std::string>& names) {
+    if (!same) {
+      names.emplace_back(name);
+    }
+  };
+  compare(before.seeds == after.seeds, "seed", found.at_once);
+  compare(before.configuration_bound == after.configuration_bound,
+          "configuration-bound-ms", found.at_once);
+  compare(before.drain_bound == after.drain_bound, "drain-bound-ms",
+          found.at_once);
+  compare(before.data_centre_bound == after.data_centre_bound,
+          "data-centre-bound-ms", found.at_once);
+  compare(before.stop_grace == after.stop_grace, "stop-grace-s", found.at_once);
+  compare(before.log_level == after.log_level, "log-level", found.at_once);
+  compare(before.log_flows == after.log_flows, "log-flows", found.at_once);
+  compare(before.name == after.name, "name", found.at_restart);
+  compare(before.data_centre == after.data_centre, "data-centre",
+          found.at_restart);
+  compare(before.listen == after.listen, "listen", found.at_restart);
+  compare(before.ready_listen == after.ready_listen, "ready-listen",
+          found.at_restart);
+  compare(before.peer_listen == after.peer_listen, "peer-listen",
+          found.at_restart);
+  compare(before.metrics_listen == after.metrics_listen, "metrics-listen",
+          found.at_restart);
+  compare(before.store == after.store, "store", found.at_restart);
+  compare(before.processor_share == after.processor_share, "processor-share",
+          found.at_restart);
+  compare(before.flow_lifetime == after.flow_lifetime, "flow-lifetime-s",
+          found.at_restart);
+  compare(before.cold_factor == after.cold_factor, "cold-factor",
+          found.at_restart);
+  compare(before.cold_extra == after.cold_extra, "cold-extra",
+          found.at_restart);
+  return found;
+}
+
+}  // namespace rosemarydrum
--- /dev/null
+++ b/apps/log/log_entry.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <boost/json/object.hpp>
+#include <cstdint>
+
+#include "rosemarydrum/event_record.h"
+#include "rosemarydrum/types.h"
+
+namespace rosemarydrum {
+
+/// One line of the log, before it is written.
+struct log_entry {
+  event_id id{};
+  time_point at;
+  std::uint64_t logical_time = 0;
+  /// Lines of this event that the limit left out before this one.
+  std::uint32_t left_out = 0;
+  boost::json::object fields;
+};
+
+}  // namespace rosemarydrum
--- /dev/null
+++ b/apps/log/log_writer.cc
@@ -0,0 +1,113 @@
+#include "log/log_writer.h"
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/json/serialize.hpp>
+#include <cerrno>
+#include <charconv>
+#include <climits>
+
+#include "rosemarydrum/runtime_clock.h"
+
+namespace rosemarydrum {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::array<std::string_view, 3> severity_names{
+    {"info", "warning", "error"}};
+
+std::string hex(std::uint64_t number) {
+  std::array<char, 16> digits{};
+  const auto [end, error] =
+      std::to_chars(digits.data(), digits.data() + digits.size(), number, 16);
+  static_cast<void>(error);
+  return {digits.data(), end};
+}
+
+}  // namespace
+
+std::string log_line(const log_entry& entry, const log_identity& identity) {
+  const auto* description = find_event(entry.id);
+  json::object line;
+  line["unix_ms"] = runtime_clock::to_unix(entry.at);
+  line["logical"] = entry.logical_time;
+  line["event"] = static_cast<std::uint16_t>(entry.id);
+  if (description != nullptr) {
+    line["name"] = description->name;
+    line["severity"] =
+        severity_names[static_cast<std::size_t>(description->severity)];
+  }
+  line["node"] = identity.node;
+  line["run"] = hex(identity.run);
+  for (const auto& field : entry.fields) {
+    line.emplace(field.key(), field.value());
+  }
+  if (entry.left_out > 0) {
+    line["left_out"] = entry.left_out;
+  }
+  return json::serialize(line);
+}
+
+log_writer::log_writer(int descriptor, log_identity identity,
+                       std::vector<log_ring*> rings)
+    : descriptor_(descriptor),
+      identity_(std::move(identity)),
+      rings_(std::move(rings)) {}
+
+std::uint64_t log_writer::dropped() const {
+  auto total = dropped_;
+  for (const auto* ring : rings_) {
+    total += ring->dropped();
+  }
+  return total;
+}
+
+void log_writer::write(time_point now) {
+  for (auto* ring : rings_) {
+    ring->drain([this](log_entry&& entry) { take(std::move(entry)); });
+  }
+  if (const auto lost = dropped();
+      lost > reported_ && waiting_.size() < max_waiting / 2) {
+    take({event_id::log_lines_dropped, now, 0, 0, {{"dropped", lost}}});
+    reported_ = lost;
+  }
+  flush();
+}
+
+void log_writer::take(log_entry&& entry) {
+  if (waiting_.size() >= max_waiting) {
+    ++dropped_;
+    return;
+  }
+  append(log_line(entry, identity_));
+}
+
+void log_writer::append(const std::string& line) {
+  waiting_ += line;
+  waiting_ += '\n';
+}
+
+// A pipe that is ready takes PIPE_BUF bytes without blocking.
+void log_writer::flush() {
+  std::size_t written = 0;
+  while (written < waiting_.size()) {
+    pollfd ready{descriptor_, POLLOUT, 0};
+    if (poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0) {
+      break;
+    }
+    const auto size =
+        std::min<std::size_t>(waiting_.size() - written, PIPE_BUF);
+    const auto count = ::write(descriptor_, waiting_.data() + written, size);
+    if (count <= 0) {
+      break;
+    }
+    written += static_cast<std::size_t>(count);
+  }
+  waiting_.erase(0, written);
+}
+
+}  // namespace rosemarydrum
--- a/include/rosemarydrum/event_log.h
+++ b/include/rosemarydrum/event_log.h
@@ -9,7 +9,9 @@
 #include <string_view>
 #include <vector>
 
+#include "rosemarydrum/event_budget.h"
 #include "rosemarydrum/event_record.h"
+#include "rosemarydrum/logical_clock.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
@@ -41,26 +43,20 @@
   std::optional<event_record> add(event_record event, time_point now);
 
   /// A message with logical time `theirs` has arrived.
-  void witness(std::uint64_t theirs);
+  void witness(std::uint64_t theirs) { clock_.witness(theirs); }
   /// The logical time to put on a message that is sent now.
-  std::uint64_t next_logical_time();
+  std::uint64_t next_logical_time() { return clock_.next(); }
 
   /// At most `limit` events from sequence `first` on.
   std::vector<event_record> page(std::uint64_t first, std::size_t limit) const;
 
  private:
-  struct rate_window {
-    std::int64_t second = 0;
-    std::uint32_t count = 0;
-    std::uint32_t suppressed = 0;
-  };
-
   balancer_run process_;
   std::size_t capacity_;
   std::uint64_t next_sequence_ = 1;
-  std::uint64_t logical_time_ = 0;
+  logical_clock clock_;
   std::deque<event_record> ring_;
-  std::map<event_id, rate_window> limits_;
+  std::map<event_id, event_budget> budgets_;
 };
 
 /// An event and whether it surely comes after the one before it.
--- a/include/rosemarydrum/forwarding/flow_codec.h
+++ b/include/rosemarydrum/forwarding/flow_codec.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <span>
+#include <string_view>
 
 #include "rosemarydrum/forwarding/flow_packet.h"
 #include "rosemarydrum/forwarding/upstream_record.h"
@@ -21,6 +22,9 @@
   virtual std::size_t headroom() const = 0;
   /// Nullopt if the datagram is not a whole, well-formed packet.
   virtual std::optional<flow_packet> decode(bytes_view datagram) const = 0;
+  /// The id of the request that the first data of a flow begins; a view into
+  /// it, empty if there is none.
+  virtual std::string_view request_id(bytes_view data) const = 0;
   /// Addresses the packet after the headroom of `buffer` to an upstream and
   /// puts the flow's tag on it; everything else stays as its caller wrote it.
   virtual void address_to(std::span<std::uint8_t> buffer, upstream_key upstream,
--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -8,8 +8,11 @@
 #include <vector>
 
 #include "rosemarydrum/forwarding/fleet_change.h"
+#include "rosemarydrum/forwarding/flow_codec.h"
 #include "rosemarydrum/forwarding/flow_packet.h"
+#include "rosemarydrum/forwarding/forwarder_observer.h"
 #include "rosemarydrum/forwarding/open_flows.h"
+#include "rosemarydrum/forwarding/packet_verdict.h"
 #include "rosemarydrum/forwarding/placement.h"
 #include "rosemarydrum/forwarding/route_table.h"
 #include "rosemarydrum/forwarding/service_ability.h"
@@ -29,46 +32,6 @@
   std::uint64_t seed = 1;
 };
 
-enum class packet_fate : std::uint8_t {
-  /// Send it to the upstream.
-  forward,
-  /// End the flow towards the caller.
-  reset,
-  /// Do nothing.
-  discard,
-};
-
-enum class fate_reason : std::uint8_t {
-  /// A new flow was placed, or one that was not answered is placed again.
-  placed,
-  /// The packet belongs to a flow with an upstream.
-  established,
-  no_route,
-  no_upstream,
-  /// Its tag names no upstream that is known here.
-  unknown_tag,
-  /// Operators have taken the flow's data centre out.
-  data_centre_out,
-  /// It is neither a caller's packet of a flow nor opens one.
-  not_a_callers_packet,
-  count
-};
-
-/// What to do with one packet.
-struct packet_verdict {
-  packet_fate fate = packet_fate::discard;
-  fate_reason reason = fate_reason::not_a_callers_packet;
-  upstream_key upstream{};
-  upstream_tag tag{};
-  endpoint to;
-};
-
-/// An opening packet that is sent again, to another upstream.
-struct repeated_opening {
-  packet_verdict verdict;
-  bytes datagram;
-};
-
 /// An opening packet that its caller has not followed up after this time is
 /// sent to another upstream; the caller repeats it much later.
 inline constexpr milliseconds handshake_timeout{60};
@@ -78,7 +41,9 @@
 /// Decides where the packets of callers go. Has no I/O and reads no clock.
 class forwarder {
  public:
-  explicit forwarder(forwarder_settings settings);
+  /// `codec` reads request ids; `observer` outlives the forwarder.
+  forwarder(forwarder_settings settings, const flow_codec& codec,
+            forwarder_observer& observer);
 
   packet_verdict on_packet(const flow_packet& packet, time_point now);
   /// Opening packets that have not been answered in time.
@@ -97,8 +62,7 @@
   const upstream_directory& directory() const { return directory_; }
   const route_table& routes() const { return routes_; }
   std::size_t flow_count() const { return flows_.size(); }
-  /// Whether callers should be sent to other forwarders.
-  bool is_unable(time_point now) const { return ability_.is_unable(now); }
+  const service_ability& ability() const { return ability_; }
 
  private:
   struct waiting_opening {
@@ -112,16 +76,25 @@
   std::optional<packet_verdict> place(open_flow& flow,
                                       std::optional<upstream_index> avoided,
                                       time_point now);
+  std::optional<packet_verdict> place_again(open_flow& flow, repeat_cause cause,
+                                            time_point now);
   packet_verdict to_upstream(upstream_index upstream, fate_reason reason) const;
   bool is_given_up(upstream_index upstream, time_point now) const;
   void open(open_flow& flow, upstream_index upstream, time_point now);
   void end(open_flow& flow);
   void note_unanswered(const open_flow& flow, time_point now);
+  void note_data(open_flow& flow, const flow_packet& packet, time_point now);
+  packet_verdict refuse(const flow_packet& packet, fate_reason reason,
+                        time_point now);
+  packet_verdict discard(const flow_packet& packet, fate_reason reason,
+                         time_point now);
   const fleet_service& service_of(upstream_index upstream) const;
   void on_data_centre(const data_centre_change& change, revision changed,
                       time_point now);
 
   forwarder_settings settings_;
+  const flow_codec& codec_;
+  forwarder_observer& observer_;
   upstream_directory directory_;
   placement placement_;
   service_ability ability_;
--- a/include/rosemarydrum/forwarding/open_flows.h
+++ b/include/rosemarydrum/forwarding/open_flows.h
@@ -3,8 +3,10 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cstddef>
 #include <deque>
+#include <string>
 
 #include "rosemarydrum/forwarding/flow_packet.h"
+#include "rosemarydrum/forwarding/placed.h"
 #include "rosemarydrum/forwarding/upstream_directory.h"
 #include "rosemarydrum/types.h"
 
@@ -24,18 +26,30 @@
   flow_ends ends;
   flow_stage stage = flow_stage::opening;
   upstream_index upstream{};
-  /// When the opening packet was sent to `upstream`.
-  time_point sent_at;
   /// When its first packet came.
   time_point began;
   time_point last_packet;
+  /// Counted among the upstream's flows.
+  bool counted = false;
+
+  /// The rest is of flows that were placed here.
+  placed choice;
+  std::string route;
+  milliseconds objective{0};
+  /// When the opening packet was sent to `upstream`.
+  time_point sent_at;
   /// Opening packets sent, of these repeated here since the caller's last one.
   std::uint8_t attempts = 0;
   std::uint8_t repeats = 0;
-  /// Counted among the upstream's flows.
-  bool counted = false;
   /// The opening packet, until the flow is open.
   bytes opening;
+  time_point opened_at;
+  /// When the first data of its caller came.
+  time_point first_data_at;
+  /// Id of its first request; empty if it has none.
+  std::string request;
+
+  bool was_placed_here() const { return attempts > 0; }
 };
 
 /// A flow without packets for this long is forgotten: it has ended, it is idle
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -10,6 +10,7 @@
 #include "rosemarydrum/forwarding/fleet_configuration.h"
 #include "rosemarydrum/forwarding/fleet_share.h"
 #include "rosemarydrum/forwarding/handshake_health.h"
+#include "rosemarydrum/forwarding/placed.h"
 #include "rosemarydrum/forwarding/upstream_directory.h"
 #include "rosemarydrum/types.h"
 
@@ -28,24 +29,6 @@
 /// Load that a flow to another data centre counts for, in flows.
 inline constexpr double remote_surcharge = 1.0;
 
-/// Why an upstream was chosen.
-enum class placement_reason : std::uint8_t {
-  least_loaded,
-  /// It is cold, and nothing else can take the flow.
-  cold,
-  /// It was silent and is tried again.
-  probe,
-};
-
-struct placed {
-  upstream_index upstream{};
-  placement_reason reason = placement_reason::least_loaded;
-  /// Flows of this process at the upstream before this one.
-  std::uint32_t in_flight = 0;
-  /// Upstreams that could have taken the flow.
-  std::uint32_t candidates = 0;
-};
-
 /// Chooses upstreams for new flows by the flows that this process has sent
 /// them, and judges them by their answers.
 class placement {
@@ -73,7 +56,8 @@
   /// It has ended, or goes to another one.
   void on_ended(upstream_index upstream);
   /// The handshake sent at `sent` was answered, or not in time.
-  void on_answered(upstream_index upstream, duration warmup, time_point sent,
+  /// Returns true if the upstream had been silent.
+  bool on_answered(upstream_index upstream, duration warmup, time_point sent,
                    time_point now);
   /// Returns true if the upstream has become silent.
   bool on_unanswered(upstream_index upstream, time_point sent, time_point now);
@@ -86,6 +70,8 @@
 
   std::uint32_t in_flight(upstream_index upstream) const;
   bool is_silent(upstream_index upstream) const;
+  /// Why the upstreams of a service cannot take a flow.
+  upstream_census census(const std::string& service, time_point now) const;
 
  private:
   struct load {
--- a/include/rosemarydrum/forwarding/service_ability.h
+++ b/include/rosemarydrum/forwarding/service_ability.h
@@ -19,6 +19,10 @@
   /// callers nothing shows that it has passed, so that it is tried again after
   /// a while, each time a longer one.
   bool is_unable(time_point now) const { return now < unable_until_; }
+  /// When it is tried again.
+  time_point unable_until() const { return unable_until_; }
+  int opened() const { return opened_; }
+  int failed() const { return failed_; }
   /// Gives the process another chance, as when what it knows is fresh again.
   void reset();
 
--- a/include/rosemarydrum/settings.h
+++ b/include/rosemarydrum/settings.h
@@ -10,16 +10,26 @@
 #include <vector>
 
 #include "rosemarydrum/field_error.h"
+#include "rosemarydrum/forwarder_options.h"
 #include "rosemarydrum/types.h"
 
-/// The settings of both programs: flags, then environment variables.
+/// The settings of the programs: flags, then environment variables, then the
+/// settings file.
 namespace rosemarydrum {
 
 /// The programs that a setting is for.
-enum class program : std::uint8_t { balancer, command, both };
+enum class program : std::uint8_t {
+  balancer,
+  command,
+  /// Balancer and command.
+  both,
+  forwarder,
+};
 
 enum class setting_type : std::uint8_t {
   number,
+  /// Up to three decimal places; its bounds are in thousandths.
+  decimal,
   text,
   /// One of a list of words.
   choice,
@@ -56,6 +66,7 @@
   output_format output = output_format::table;
   milliseconds timeout{};
   std::string operator_name;
+  forwarder_options forwarder;
   /// Words and flags that are not settings; only in the command.
   std::vector<std::string> rest;
 };
@@ -74,7 +85,7 @@
   std::string_view choices;
   /// Empty: none, or derived as the text says.
   std::string_view default_value;
-  /// The balancer does not start without it.
+  /// Balancer and forwarder do not start without it.
   bool required;
   /// May be given several times; separated by commas in the environment.
   bool repeatable;
@@ -93,11 +104,18 @@
 using environment = std::function<const char*(const char*)>;
 
 /// Reads and checks the settings of `which` from `arguments` (without the
-/// program's name), then from the environment. The first wrong value is
-/// returned; its kind is error_kind::bad_settings.
+/// program's name), then from the environment, then from the text of a settings
+/// file: lines "setting = value", without a value as if they were not there.
+/// The first wrong value is returned; its kind is error_kind::bad_settings.
 std::variant<settings, field_error> load_settings(
     program which, const std::vector<std::string>& arguments,
-    const environment& variables);
+    const environment& variables, const std::string& file_text = {});
+
+/// Checks a settings file of which values are placeholders "{{...}}", to be
+/// filled in later: its settings, the other values, and that all required
+/// settings are there. Nullopt if nothing is wrong.
+std::optional<field_error> check_settings_template(program which,
+                                                   const std::string& text);
 
 /// The list of flags for --help.
 std::string settings_help(program which);
--- a/include/rosemarydrum/spread/replica_spread.h
+++ b/include/rosemarydrum/spread/replica_spread.h
@@ -58,6 +58,7 @@
   /// The process has not run for a while; messages that waited are old.
   void on_stall(time_point now);
   void tick(time_point now, spread_output& out);
+  void configure(std::vector<endpoint> seeds, milliseconds longest_age);
   /// A planned stop: another member reads from now on.
   void leave(time_point now, spread_output& out);
 
@@ -71,6 +72,8 @@
   /// Whether the store or a member that reads it has confirmed the replica
   /// lately.
   bool is_fresh(time_point now) const;
+  /// Members of the own data centre that read the store before this one.
+  std::size_t rank() const;
   const std::map<std::string, member_record>& members() const {
     return members_;
   }
@@ -100,7 +103,6 @@
   spread_message message_of(item_listing listing, time_point now) const;
   std::vector<endpoint> neighbours() const;
   bool precedes(const member_record& left, const member_record& right) const;
-  std::size_t rank() const;
   bool should_read(time_point now) const;
   bool is_suppressed(time_point now) const;
 
--- a/include/rosemarydrum/spread/spread_message.h
+++ b/include/rosemarydrum/spread/spread_message.h
@@ -33,6 +33,8 @@
   /// All changes up to this revision are known to the sender.
   revision at{};
   std::variant<bulletin, inquiry> body;
+  /// Set by the host when the message is sent.
+  std::uint64_t logical_time = 0;
 };
 
 /// Longest message in one datagram, to pass links without fragments.
--- a/schema/spread.capnp
+++ b/schema/spread.capnp
@@ -29,4 +29,6 @@
     }
     inquiry @9 :Void;
   }
+  # Lamport clock of the sender.
+  logicalTime @10 :UInt64;
 }
--- /dev/null
+++ b/src/event_budget.cc
@@ -0,0 +1,21 @@
+#include "rosemarydrum/event_budget.h"
+
+#include <utility>
+
+namespace rosemarydrum {
+
+std::optional<std::uint32_t> event_budget::take(time_point now) {
+  const auto second = std::chrono::floor<seconds>(now.time_since_epoch());
+  if (second_ != second.count()) {
+    second_ = second.count();
+    count_ = 0;
+  }
+  if (count_ >= per_second_) {
+    ++left_out_;
+    return std::nullopt;
+  }
+  ++count_;
+  return std::exchange(left_out_, 0);
+}
+
+}  // namespace rosemarydrum
--- a/src/event_catalogue.cc
+++ b/src/event_catalogue.cc
@@ -10,21 +10,38 @@
 
 constexpr event_description catalogue[] = {
     {process_started, "process_started", info,
-     "The balancer process has started. It is not ready yet.", ""},
+     "The process has started. It is not ready yet.",
+     "version data_centre listen peers store"},
     {process_ready, "process_ready", info,
-     "The balancer has the newest configuration that it could learn of and "
+     "The process has the newest configuration that it could learn of and "
      "takes packets from the fabric.",
-     "configuration"},
+     "configuration revision upstreams"},
     {shutdown_started, "shutdown_started", info,
-     "A planned stop has begun: the balancer takes no new flows and finishes "
-     "what is in progress.",
-     ""},
+     "A planned stop has begun: the process reports itself not ready and "
+     "finishes what is in progress.",
+     "flows"},
     {shutdown_finished, "shutdown_finished", info,
-     "Everything is handed over and finished; the process ends.", ""},
+     "Everything is handed over and finished; the process ends.", "flows"},
+    {settings_reloaded, "settings_reloaded", info,
+     "The settings file has changed and is in force; `waiting` names settings "
+     "that take effect at the next start.",
+     "cause changed waiting"},
+    {settings_rejected, "settings_rejected", error,
+     "The settings file has a wrong value; the former settings stay in force.",
+     "cause problem"},
+    {process_stalled, "process_stalled", warning,
+     "A thread has not run for `stalled_ms`: what it knew has aged and answers "
+     "may have been lost.",
+     "thread stalled_ms"},
+    {log_lines_dropped, "log_lines_dropped", warning,
+     "Lines were lost because standard output did not take them.", "dropped"},
+    {ready_changed, "ready_changed", info,
+     "The answer to readiness checks has changed.", "ready reason"},
     {configuration_applied, "configuration_applied", info,
-     "Documents up to this revision are in effect at this balancer; detail "
-     "counts them, if several came at once.",
-     "configuration detail"},
+     "Documents up to this revision are in effect at this process; detail "
+     "counts them, if several came at once. A forwarder names the operators' "
+     "version.",
+     "configuration detail routes revision age_ms"},
     {configuration_ignored, "configuration_ignored", info,
      "Documents that are not newer than the applied ones were ignored; detail "
      "counts them.",
@@ -32,13 +49,30 @@
     {store_lost, "store_lost", warning,
      "The configuration store cannot be reached. The balancer continues with "
      "the last accepted configuration.",
-     ""},
+     "error revision age_ms"},
     {store_back, "store_back", info,
-     "The configuration store can be reached again.", ""},
+     "The configuration store can be reached again.", "lost_ms revision"},
     {document_rejected, "document_rejected", error,
      "A document of this revision has a wrong field, or there is no room for "
      "it; the former one stays in effect. Detail is the error's number.",
-     "configuration detail"},
+     "configuration detail revision"},
+    {store_reading_started, "store_reading_started", info,
+     "This process reads the store for its data centre. `rank` counts the "
+     "members that come before it.",
+     "rank revision age_ms"},
+    {store_reading_stopped, "store_reading_stopped", info,
+     "Another member of the data centre reads the store.", "revision age_ms"},
+    {knowledge_stale, "knowledge_stale", warning,
+     "Neither the store nor a member has confirmed what this process knows for "
+     "`age_ms`. It goes on with revision `revision` and asks others.",
+     "revision age_ms"},
+    {knowledge_fresh, "knowledge_fresh", info,
+     "What this process knows is confirmed again; it was not for `stale_ms`. "
+     "What it believes of silent upstreams is dropped.",
+     "revision stale_ms"},
+    {knowledge_confirmed, "knowledge_confirmed", info,
+     "Once a minute: the revision that this process knows and its age.",
+     "revision age_ms members upstreams flows"},
     {peer_joined, "peer_joined", info,
      "A peer is live; detail is its balancer number.", "data_centre detail"},
     {peer_suspected, "peer_suspected", warning,
@@ -65,6 +99,16 @@
     {lease_handed_over, "lease_handed_over", info,
      "The balancer has handed a shard to its successor; detail is the shard.",
      "detail"},
+    {member_listed, "member_listed", info,
+     "A forwarder is in the store's list of members.",
+     "member data_centre address revision"},
+    {member_removed, "member_removed", info,
+     "A forwarder is no longer in the store's list of members.",
+     "member revision"},
+    {member_registered, "member_registered", info,
+     "This process's record is in the store; `written` unless its last run's "
+     "was still there.",
+     "written"},
     {upstream_cold, "upstream_cold", warning,
      "An upstream has started anew, shed a request, been reset or become slow; "
      "it gets one request at a time.",
@@ -80,6 +124,27 @@
      "An upstream is no longer listed, or its data centre is out; it gets no "
      "more work.",
      "service upstream"},
+    {upstream_listed, "upstream_listed", info,
+     "The store's entry of an upstream is new or has changed. `cold_ms` is how "
+     "long it stays cold; `started_ms` is its start in Unix milliseconds.",
+     "upstream service data_centre address cold_ms started_ms draining "
+     "revision"},
+    {upstream_unreadable, "upstream_unreadable", warning,
+     "The entry of an upstream cannot be read: it gets no new flows, its flows "
+     "go on.",
+     "upstream revision"},
+    {upstream_gone, "upstream_gone", info,
+     "The entry of an upstream was removed: it gets no new flows after "
+     "`grace_ms`, its flows go on.",
+     "upstream service grace_ms revision"},
+    {upstream_silent, "upstream_silent", warning,
+     "An upstream has not answered two handshakes of this process in a row; it "
+     "is avoided and tried again now and then.",
+     "upstream service data_centre flow unanswered revision age_ms"},
+    {upstream_answers, "upstream_answers", info,
+     "An upstream that was silent has answered. It gets few flows for "
+     "`spared_ms`, because it may have been restarted.",
+     "upstream service data_centre flow spared_ms revision age_ms"},
     {request_refused, "request_refused", warning,
      "A request was refused; detail is the error's number.",
      "service flow request detail"},
@@ -111,12 +176,49 @@
      "error's number.",
      "service flow upstream detail"},
     {event_id::data_centre_out, "data_centre_out", warning,
-     "Operators have taken a data centre out; it gets no packets from this "
-     "balancer.",
-     "data_centre configuration"},
+     "Operators have taken a data centre out; it gets no new flows from this "
+     "process.",
+     "data_centre configuration revision"},
     {data_centre_in, "data_centre_in", info,
      "Operators have put a data centre in; its upstreams start cold.",
-     "data_centre configuration"},
+     "data_centre configuration revision"},
+    {flow_opened, "flow_opened", info,
+     "A request's flow has opened: the upstream was chosen for `reason` among "
+     "`candidates`, with `in_flight` flows of this process at it. "
+     "`handshake_us` counts from the caller's first packet, of which "
+     "`attempts` were sent.",
+     "request flow route upstream service data_centre reason in_flight "
+     "candidates attempts handshake_us configuration revision age_ms"},
+    {flow_placed_again, "flow_placed_again", warning,
+     "An upstream has not answered the opening packet after `waited_us`, so it "
+     "was sent to another one. `cause`: timeout or the caller's copy.",
+     "flow route cause unanswered upstream in_flight candidates attempts "
+     "waited_us configuration revision age_ms"},
+    {flow_refused, "flow_refused", warning,
+     "A reset was sent to the caller: the request has not run here. `reason` is "
+     "no_upstream (none can take it) or no_route.",
+     "flow route reason service listed draining cold silent out configuration "
+     "revision age_ms"},
+    {flow_unanswered, "flow_unanswered", warning,
+     "A flow was given up: no upstream answered any of `attempts` opening "
+     "packets in `waited_us`.",
+     "flow route upstream attempts waited_us configuration revision age_ms"},
+    {flow_discarded, "flow_discarded", warning,
+     "A packet was not sent on. `reason`: no_route, unknown_tag, "
+     "data_centre_out, not_a_callers_packet or malformed.",
+     "flow reason tag configuration revision age_ms"},
+    {flow_slow, "flow_slow", warning,
+     "A request took longer than its route's objective from its first packet "
+     "to the caller's end of the flow.",
+     "request flow route upstream service attempts handshake_us first_data_us "
+     "duration_us objective_ms in_flight configuration revision"},
+    {service_unable, "service_unable", warning,
+     "Nearly all new flows of the last 600 ms have failed; this process "
+     "reports itself not ready for `pause_ms`.",
+     "opened failed pause_ms revision age_ms"},
+    {service_able, "service_able", info,
+     "This process takes part again after `service_unable`.",
+     "revision age_ms"},
 };
 
 }  // namespace
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::uint32_t max_events_per_second = 100;
-// A larger value from a peer is a fault; taking it over could wrap the clock.
-constexpr std::uint64_t max_logical_time = std::uint64_t{1} << 62;
 
 }  // namespace
 
@@ -18,18 +16,13 @@
     : process_(process), capacity_(std::max<std::size_t>(capacity, 1)) {}
 
 std::optional<event_record> event_log::add(event_record event, time_point now) {
-  auto& window = limits_[event.id];
-  const auto second = std::chrono::floor<seconds>(now.time_since_epoch());
-  if (window.second != second.count()) {
-    window.second = second.count();
-    window.count = 0;
-  }
-  if (window.count >= max_events_per_second) {
-    ++window.suppressed;
+  const auto left_out =
+      budgets_.try_emplace(event.id, max_events_per_second)
+          .first->second.take(now);
+  if (!left_out) {
     return std::nullopt;
   }
-  ++window.count;
-  event.suppressed = std::exchange(window.suppressed, 0);
+  event.suppressed = *left_out;
   event.process = process_;
   event.sequence = next_sequence_++;
   event.wall_time = runtime_clock::to_unix(now);
@@ -46,14 +39,6 @@
   return event;
 }
 
-void event_log::witness(std::uint64_t theirs) {
-  if (theirs <= max_logical_time) {
-    logical_time_ = std::max(logical_time_, theirs);
-  }
-}
-
-std::uint64_t event_log::next_logical_time() { return ++logical_time_; }
-
 std::vector<event_record> event_log::page(std::uint64_t first,
                                           std::size_t limit) const {
   const auto begin = std::lower_bound(ring_.begin(), ring_.end(), first,
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -9,14 +9,13 @@
 /// that has become cold may be as old.
 constexpr milliseconds entry_delay{2000};
 
-packet_verdict without_upstream(packet_fate fate, fate_reason reason) {
-  return {fate, reason, {}, {}, {}};
-}
-
 }  // namespace
 
-forwarder::forwarder(forwarder_settings settings)
+forwarder::forwarder(forwarder_settings settings, const flow_codec& codec,
+                     forwarder_observer& observer)
     : settings_(std::move(settings)),
+      codec_(codec),
+      observer_(observer),
       directory_(settings_.flow_lifetime),
       placement_({settings_.name, settings_.data_centre, settings_.cold_factor,
                   settings_.cold_extra, settings_.seed},
@@ -27,8 +26,7 @@
     return on_opening(packet, now);
   }
   if (packet.opens || packet.tag == upstream_tag{}) {
-    return without_upstream(packet_fate::discard,
-                            fate_reason::not_a_callers_packet);
+    return discard(packet, fate_reason::not_a_callers_packet, now);
   }
   return on_established(packet, now);
 }
@@ -41,31 +39,32 @@
     return to_upstream(flow->upstream, fate_reason::established);
   }
   if (routes_.find(packet.flow.service) == nullptr) {
-    return without_upstream(packet_fate::discard, fate_reason::no_route);
-  }
-  std::optional<upstream_index> avoided;
-  if (flow != nullptr && flow->stage == flow_stage::opening) {
-    note_unanswered(*flow, now);
-    avoided = flow->upstream;
+    // The route may be newer than what is known here. The caller tries again.
+    return discard(packet, fate_reason::no_route, now);
   }
-  if (flow == nullptr) {
+  const bool is_copy = flow != nullptr && flow->stage == flow_stage::opening;
+  if (!is_copy) {
     flow = flows_.insert(packet.flow, now);
-  }
-  if (flow != nullptr) {
-    flow->last_packet = now;
-    flow->opening.assign(packet.datagram.begin(), packet.datagram.end());
-    flow->repeats = 0;
-    if (const auto verdict = place(*flow, avoided, now)) {
-      return *verdict;
+    if (flow == nullptr) {
+      return refuse(packet, fate_reason::no_upstream, now);
     }
+  }
+  flow->last_packet = now;
+  flow->opening.assign(packet.datagram.begin(), packet.datagram.end());
+  flow->repeats = 0;
+  const auto verdict = is_copy
+                           ? place_again(*flow, repeat_cause::callers_copy, now)
+                           : place(*flow, std::nullopt, now);
+  if (!verdict) {
     flows_.erase(packet.flow);
+    return refuse(packet, fate_reason::no_upstream, now);
   }
-  ability_.on_failed(now);
-  return without_upstream(packet_fate::reset, fate_reason::no_upstream);
+  return *verdict;
 }
 
 std::optional<packet_verdict> forwarder::place(
     open_flow& flow, std::optional<upstream_index> avoided, time_point now) {
+  end(flow);
   const auto* found = routes_.find(flow.ends.service);
   const auto* target =
       found == nullptr
@@ -76,21 +75,36 @@
           ? std::nullopt
           : placement_.choose(routes_.service(target->service), avoided, now);
   if (!chosen) {
-    end(flow);
     return std::nullopt;
   }
-  end(flow);
   placement_.on_placed(chosen->upstream,
                        chosen->reason != placement_reason::least_loaded, now);
   flow.stage = flow_stage::opening;
   flow.upstream = chosen->upstream;
-  flow.sent_at = now;
   flow.counted = true;
+  flow.choice = *chosen;
+  flow.route = found->name;
+  flow.objective = found->objective;
+  flow.sent_at = now;
   ++flow.attempts;
   openings_.push_back({now + handshake_timeout, flow.ends, now});
   return to_upstream(chosen->upstream, fate_reason::placed);
 }
 
+std::optional<packet_verdict> forwarder::place_again(open_flow& flow,
+                                                     repeat_cause cause,
+                                                     time_point now) {
+  const auto before = flow.upstream;
+  const auto waited = now - flow.sent_at;
+  note_unanswered(flow, now);
+  const auto verdict = place(flow, before, now);
+  if (verdict && flow.upstream != before) {
+    observer_.on_placed_again(flow, directory_.at(flow.upstream),
+                              directory_.at(before), waited, cause, now);
+  }
+  return verdict;
+}
+
 std::vector<repeated_opening> forwarder::repeat_openings(time_point now) {
   std::vector<repeated_opening> repeated;
   while (!openings_.empty() && openings_.front().due <= now) {
@@ -101,10 +115,9 @@
         flow->sent_at != next.sent_at || flow->repeats >= most_repeats) {
       continue;
     }
-    note_unanswered(*flow, now);
     ++flow->repeats;
     const auto before = flow->upstream;
-    const auto verdict = place(*flow, before, now);
+    const auto verdict = place_again(*flow, repeat_cause::timeout, now);
     if (verdict && flow->upstream != before) {
       repeated.push_back({*verdict, flow->opening});
     }
@@ -115,17 +128,19 @@
 packet_verdict forwarder::on_established(const flow_packet& packet,
                                          time_point now) {
   if (routes_.is_known() && routes_.find(packet.flow.service) == nullptr) {
-    return without_upstream(packet_fate::reset, fate_reason::no_route);
+    return refuse(packet, fate_reason::no_route, now);
   }
   auto* flow = flows_.find(packet.flow);
   const bool is_open = flow != nullptr && flow->stage != flow_stage::opening;
+  // The tag of a flow whose opening packet was repeated may change with a late
+  // answer; its first one counts.
   const auto upstream =
       is_open ? std::optional(flow->upstream) : directory_.find(packet.tag);
   if (!upstream) {
-    return without_upstream(packet_fate::discard, fate_reason::unknown_tag);
+    return discard(packet, fate_reason::unknown_tag, now);
   }
   if (is_given_up(*upstream, now)) {
-    return without_upstream(packet_fate::discard, fate_reason::data_centre_out);
+    return discard(packet, fate_reason::data_centre_out, now);
   }
   if (flow == nullptr) {
     flow = flows_.insert(packet.flow, now);
@@ -135,29 +150,49 @@
     if (flow->stage == flow_stage::opening) {
       open(*flow, *upstream, now);
     }
-    if (packet.finishes || packet.resets) {
+    note_data(*flow, packet, now);
+    if ((packet.finishes || packet.resets) &&
+        flow->stage != flow_stage::ended) {
       end(*flow);
       flow->stage = flow_stage::ended;
+      if (flow->was_placed_here()) {
+        observer_.on_ended(*flow, directory_.at(*upstream), now);
+      }
     }
   }
   return to_upstream(*upstream, fate_reason::established);
 }
 
 void forwarder::open(open_flow& flow, upstream_index upstream, time_point now) {
-  const bool was_placed_here = flow.attempts > 0;
   if (!flow.counted || flow.upstream != upstream) {
     end(flow);
     placement_.on_placed(upstream, false, now);
     flow.counted = true;
     flow.upstream = upstream;
   }
-  if (was_placed_here) {
-    placement_.on_answered(upstream, service_of(upstream).warmup, flow.sent_at,
-                           now);
-    ability_.on_opened(now);
-  }
   flow.stage = flow_stage::open;
   flow.opening = {};
+  flow.opened_at = now;
+  if (!flow.was_placed_here()) {
+    return;
+  }
+  observer_.on_handshake(flow, now);
+  ability_.on_opened(now);
+  const auto warmup = service_of(upstream).warmup;
+  if (placement_.on_answered(upstream, warmup, flow.sent_at, now)) {
+    observer_.on_answers(flow, directory_.at(upstream), warmup, now);
+  }
+}
+
+void forwarder::note_data(open_flow& flow, const flow_packet& packet,
+                          time_point now) {
+  if (!flow.was_placed_here() || packet.data.empty() ||
+      flow.first_data_at != time_point{}) {
+    return;
+  }
+  flow.first_data_at = now;
+  flow.request = codec_.request_id(packet.data);
+  observer_.on_opened(flow, directory_.at(flow.upstream), now);
 }
 
 void forwarder::end(open_flow& flow) {
@@ -168,10 +203,37 @@
 }
 
 void forwarder::note_unanswered(const open_flow& flow, time_point now) {
-  if (flow.counted) {
-    placement_.on_unanswered(flow.upstream, flow.sent_at, now);
+  if (!flow.counted) {
+    return;
+  }
+  ability_.on_failed(now);
+  if (placement_.on_unanswered(flow.upstream, flow.sent_at, now)) {
+    observer_.on_silent(flow, directory_.at(flow.upstream), silent_handshakes,
+                        now);
+  }
+}
+
+packet_verdict forwarder::refuse(const flow_packet& packet, fate_reason reason,
+                                 time_point now) {
+  const auto* found = routes_.find(packet.flow.service);
+  const auto* target =
+      found == nullptr
+          ? nullptr
+          : route_table::target_for(*found,
+                                    std::hash<flow_ends>{}(packet.flow));
+  const auto service = target == nullptr ? std::string() : target->service;
+  if (reason == fate_reason::no_upstream) {
     ability_.on_failed(now);
   }
+  observer_.on_refused(packet, reason, found == nullptr ? "" : found->name,
+                       service, placement_.census(service, now), now);
+  return {packet_fate::reset, reason, {}, {}, {}};
+}
+
+packet_verdict forwarder::discard(const flow_packet& packet, fate_reason reason,
+                                  time_point now) {
+  observer_.on_discarded(packet, reason, now);
+  return {packet_fate::discard, reason, {}, {}, {}};
 }
 
 packet_verdict forwarder::to_upstream(upstream_index upstream,
@@ -238,7 +300,12 @@
 void forwarder::on_stall() { openings_.clear(); }
 
 void forwarder::tick(time_point now) {
-  flows_.expire(now, [this](open_flow& flow) { end(flow); });
+  flows_.expire(now, [this, now](open_flow& flow) {
+    if (flow.stage == flow_stage::opening && flow.counted) {
+      observer_.on_unanswered(flow, directory_.at(flow.upstream), now);
+    }
+    end(flow);
+  });
   directory_.forget_gone(now, [this](upstream_index index) {
     flows_.erase_if(
         [index](const open_flow& flow) { return flow.upstream == index; });
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -139,12 +139,14 @@
   }
 }
 
-void placement::on_answered(upstream_index upstream, duration warmup,
+bool placement::on_answered(upstream_index upstream, duration warmup,
                             time_point sent, time_point now) {
   auto& loaded = of(upstream);
-  if (loaded.health.on_answered(sent)) {
+  const bool was_silent = loaded.health.on_answered(sent);
+  if (was_silent) {
     loaded.spared_until = std::max(loaded.spared_until, now + warmup);
   }
+  return was_silent;
 }
 
 bool placement::on_unanswered(upstream_index upstream, time_point sent,
@@ -174,6 +176,23 @@
   return position < loads_.size() && loads_[position].health.is_silent();
 }
 
+upstream_census placement::census(const std::string& service,
+                                  time_point now) const {
+  upstream_census counted;
+  for (const auto index : directory_.of_service(service)) {
+    const auto& known = directory_.at(index);
+    const auto position = value_of(index);
+    const bool is_spared =
+        position < loads_.size() && loads_[position].spared_until > now;
+    counted.listed += known.state == listing::listed ? 1 : 0;
+    counted.draining += known.record.draining ? 1 : 0;
+    counted.cold += known.cold_until > now || is_spared ? 1 : 0;
+    counted.silent += is_silent(index) ? 1 : 0;
+    counted.out += is_out(known.record.data_centre) ? 1 : 0;
+  }
+  return counted;
+}
+
 placement::load& placement::of(upstream_index upstream) {
   const auto position = value_of(upstream);
   if (position >= loads_.size()) {
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -15,7 +15,8 @@
 using values = std::vector<std::string>;
 
 bool is_used_by(const setting_description& setting, program which) {
-  return setting.used_by == which || setting.used_by == program::both;
+  return setting.used_by == which || (setting.used_by == program::both &&
+                                      which != program::forwarder);
 }
 
 values split(const std::string& list) {
@@ -62,6 +63,10 @@
   Number number(const std::string& name) {
     return static_cast<Number>(parse_number(first(name)).value_or(0));
   }
+  std::uint32_t thousandths(const std::string& name) {
+    return static_cast<std::uint32_t>(
+        parse_thousandths(first(name)).value_or(0));
+  }
   endpoint address(const std::string& name) {
     return parse_endpoint(first(name), 0).value_or(endpoint{});
   }
@@ -90,6 +95,34 @@
   return address;
 }
 
+forwarder_options forwarder_of(raw_values& raw) {
+  forwarder_options result;
+  result.name = raw.first("name");
+  result.data_centre = raw.first("data-centre");
+  result.listen = raw.address("listen");
+  result.ready_listen = raw.address("ready-listen");
+  result.peer_listen = raw.address("peer-listen");
+  result.metrics_listen = raw.address("metrics-listen");
+  result.store = raw.address("store");
+  for (const auto& value : raw.all("seed")) {
+    result.seeds.push_back(*parse_endpoint(value, 0));
+  }
+  result.processor_share = raw.thousandths("processor-share");
+  result.flow_lifetime = seconds(raw.number<std::int64_t>("flow-lifetime-s"));
+  result.configuration_bound =
+      milliseconds(raw.number<std::int64_t>("configuration-bound-ms"));
+  result.drain_bound =
+      milliseconds(raw.number<std::int64_t>("drain-bound-ms"));
+  result.data_centre_bound =
+      milliseconds(raw.number<std::int64_t>("data-centre-bound-ms"));
+  result.stop_grace = seconds(raw.number<std::int64_t>("stop-grace-s"));
+  result.cold_factor = raw.thousandths("cold-factor");
+  result.cold_extra = raw.number<std::uint32_t>("cold-extra");
+  result.log_level = raw.first("log-level");
+  result.log_flows = raw.number<std::uint32_t>("log-flows");
+  return result;
+}
+
 std::variant<settings, field_error> convert(raw_values& raw) {
   settings result;
   result.id = raw.number<balancer_id>("id");
@@ -122,12 +155,38 @@
   return result;
 }
 
+/// The values of a settings file; those without a value are left out.
+std::variant<raw_values, field_error> read_file(
+    const po::options_description& options, const std::string& text) {
+  raw_values raw;
+  try {
+    std::istringstream stream(text);
+    for (const auto& option : po::parse_config_file(stream, options).options) {
+      for (const auto& value : option.value) {
+        if (!value.empty()) {
+          raw.add(option.string_key, {value});
+        }
+      }
+    }
+  } catch (const po::error& error) {
+    return field_error{"settings file", error.what(),
+                       "lines \"setting = value\" with the settings of --help",
+                       "correct the line"};
+  }
+  return raw;
+}
+
 }  // namespace
 
 std::variant<settings, field_error> load_settings(
     program which, const std::vector<std::string>& arguments,
-    const environment& variables) {
+    const environment& variables, const std::string& file_text) {
   const auto options = options_of(which);
+  auto in_file = read_file(options, file_text);
+  if (const auto* wrong = std::get_if<field_error>(&in_file)) {
+    return *wrong;
+  }
+  auto& file_values = std::get<raw_values>(in_file);
   po::variables_map given;
   values rest;
   try {
@@ -158,6 +217,8 @@
       raw.add(name, given[name].as<values>());
     } else if (const char* value = variables(environment_name(name).c_str())) {
       raw.add(name, setting.repeatable ? split(value) : values{value});
+    } else if (!file_values.all(name).empty()) {
+      raw.add(name, file_values.all(name));
     } else if (!setting.default_value.empty()) {
       raw.add(name, {std::string(setting.default_value)});
     }
@@ -167,7 +228,7 @@
     }
     if (given.count("help") == 0) {
       if (auto wrong = detail::check_setting(setting, raw.all(name),
-                                             which == program::balancer)) {
+                                             which != program::command)) {
         return *wrong;
       }
     }
@@ -178,6 +239,11 @@
     result.rest = std::move(rest);
     return result;
   }
+  if (which == program::forwarder) {
+    settings result;
+    result.forwarder = forwarder_of(raw);
+    return result;
+  }
   auto result = convert(raw);
   if (auto* checked = std::get_if<settings>(&result)) {
     checked->rest = std::move(rest);
@@ -185,6 +251,62 @@
   return result;
 }
 
+namespace {
+
+constexpr std::string_view placeholder_begin = "{{";
+constexpr std::string_view placeholder_end = "}}";
+/// Stands for a value that is filled in later.
+constexpr std::string_view filled_in_later = "{{}}";
+
+/// `text` without section tags, and each value with a placeholder replaced.
+std::string without_placeholders(const std::string& text) {
+  std::string result;
+  std::istringstream stream(text);
+  for (std::string line; std::getline(stream, line);) {
+    bool has_value = false;
+    for (auto begin = line.find(placeholder_begin);
+         begin != std::string::npos; begin = line.find(placeholder_begin)) {
+      const auto end = line.find(placeholder_end, begin);
+      if (end == std::string::npos) {
+        break;
+      }
+      const auto kind = line[begin + placeholder_begin.size()];
+      has_value = has_value || (kind != '#' && kind != '/' && kind != '^' &&
+                                kind != ',');
+      line.erase(begin, end + placeholder_end.size() - begin);
+    }
+    if (const auto equals = line.find('='); has_value &&
+                                            equals != std::string::npos) {
+      line = line.substr(0, equals + 1) + std::string(filled_in_later);
+    }
+    result += line + "\n";
+  }
+  return result;
+}
+
+}  // namespace
+
+std::optional<field_error> check_settings_template(program which,
+                                                   const std::string& text) {
+  auto read = read_file(options_of(which), without_placeholders(text));
+  if (const auto* wrong = std::get_if<field_error>(&read)) {
+    return *wrong;
+  }
+  auto& raw = std::get<raw_values>(read);
+  for (const auto& setting : setting_table()) {
+    if (!is_used_by(setting, which)) {
+      continue;
+    }
+    auto given = raw.all(std::string(setting.name));
+    const bool is_required = given.empty();
+    std::erase(given, filled_in_later);
+    if (auto wrong = detail::check_setting(setting, given, is_required)) {
+      return wrong;
+    }
+  }
+  return std::nullopt;
+}
+
 std::string settings_help(program which) {
   std::ostringstream text;
   text << options_of(which);
--- a/src/settings_check.cc
+++ b/src/settings_check.cc
@@ -28,6 +28,10 @@
       const auto number = parse_number(value);
       return number && is_in_range(setting, *number);
     }
+    case setting_type::decimal: {
+      const auto number = parse_thousandths(value);
+      return number && is_in_range(setting, *number);
+    }
     case setting_type::text:
       return is_in_range(setting, value.size());
     case setting_type::choice:
--- a/src/settings_table.cc
+++ b/src/settings_table.cc
@@ -1,3 +1,4 @@
+#include "rosemarydrum/number_text.h"
 #include "rosemarydrum/settings.h"
 
 namespace rosemarydrum {
@@ -41,6 +42,54 @@
     {"operator", command, text, "characters", 1, 64, "", "", false, false,
      "Your name, as services' documents name their owner; needed for "
      "changes."},
+    {"settings-file", forwarder, text, "characters", 1, 4096, "", "", false,
+     false,
+     "File with further settings, read again when it changes and on SIGHUP. "
+     "Default: the one that the platform names."},
+    {"name", forwarder, text, "characters", 1, 100, "", "", true, false,
+     "Name of this instance; unique, and kept across restarts."},
+    {"data-centre", forwarder, text, "characters", 1, 100, "", "", true, false,
+     "Name of the data centre that this instance runs in."},
+    {"listen", forwarder, address, "", 0, last_port, "", "", true, false,
+     "UDP address for the packets of callers."},
+    {"ready-listen", forwarder, address, "", 0, last_port, "", "", true, false,
+     "TCP address for the fabric's readiness checks."},
+    {"peer-listen", forwarder, address, "", 0, last_port, "", "", true, false,
+     "UDP and TCP address for other forwarders; the port is the same on all "
+     "instances."},
+    {"metrics-listen", forwarder, address, "", 0, last_port, "", "", false,
+     false, "TCP address for metrics. Default: none are served."},
+    {"store", forwarder, address, "", 1, last_port, "", "", true, false,
+     "Address of the platform's key-value store."},
+    {"seed", forwarder, address, "", 0, last_port, "", "", false, true,
+     "An instance that may run a forwarder, asked while the store is away; "
+     "its port is replaced by that of peer-listen."},
+    {"processor-share", forwarder, decimal, "cores", 1, 64'000, "", "0.1",
+     false, false,
+     "Processor that this instance has; the largest instances of a data "
+     "centre read the store for the others."},
+    {"flow-lifetime-s", forwarder, number, "s", 1, 86'400, "", "60", false,
+     false, "Longest time that a flow lasts."},
+    {"configuration-bound-ms", forwarder, number, "ms", 100, 60'000, "", "3000",
+     false, false, "A configuration is in force within this time."},
+    {"drain-bound-ms", forwarder, number, "ms", 100, 60'000, "", "3000", false,
+     false, "A leaving upstream gets no new flows after this time."},
+    {"data-centre-bound-ms", forwarder, number, "ms", 100, 60'000, "", "5000",
+     false, false,
+     "A data centre that operators have taken out gets no packets after this "
+     "time."},
+    {"stop-grace-s", forwarder, number, "s", 1, 600, "", "6", false, false,
+     "A process that stops as planned is killed after this time."},
+    {"cold-factor", forwarder, decimal, "", 0, 100'000, "", "1.5", false, false,
+     "A cold upstream bears this many times the flows that its service "
+     "states."},
+    {"cold-extra", forwarder, number, "flows a second", 0, 100'000, "", "5",
+     false, false, "Flows that a cold upstream bears beyond that."},
+    {"log-level", forwarder, choice, "", 0, 0, "info|warning|error", "info",
+     false, false, "Least severity of the events that are logged."},
+    {"log-flows", forwarder, number, "lines a second", 0, 100'000, "", "20",
+     false, false,
+     "Lines about flows that were served; what is left out is counted."},
 };
 
 }  // namespace
@@ -61,6 +110,10 @@
   switch (setting.type) {
     case number:
       return "a number from " + range;
+    case decimal:
+      return "a number from " + thousandths_text(setting.minimum) + " to " +
+             thousandths_text(setting.maximum) +
+             " with up to three decimal places";
     case text:
       return range + " characters";
     case choice:
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -181,7 +181,7 @@
       now - replica_.confirmed_at());
   const auto at = listing.at;
   told.listing = std::move(listing);
-  return {settings_.self.name, settings_.run, at, std::move(told)};
+  return {settings_.self.name, settings_.run, at, std::move(told), 0};
 }
 
 void replica_spread::on_stall(time_point now) {
@@ -214,10 +214,16 @@
   if (!to.empty()) {
     out.datagrams.push_back(
         {std::move(to),
-         {settings_.self.name, settings_.run, replica_.at(), inquiry{}}});
+         {settings_.self.name, settings_.run, replica_.at(), inquiry{}, 0}});
   }
 }
 
+void replica_spread::configure(std::vector<endpoint> seeds,
+                               milliseconds longest_age) {
+  settings_.seeds = std::move(seeds);
+  settings_.longest_age = longest_age;
+}
+
 void replica_spread::on_joined(time_point now) {
   if (!joined_) {
     joined_ = true;
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -72,6 +72,7 @@
   root.setSender(message.sender);
   root.setRun(value_of(message.run));
   root.setAt(value_of(message.at));
+  root.setLogicalTime(message.logical_time);
   if (const auto* told = std::get_if<bulletin>(&message.body)) {
     write(*told, root.getKind().initBulletin());
   } else {
@@ -97,6 +98,7 @@
     message.sender = root.getSender().cStr();
     message.run = incarnation(root.getRun());
     message.at = revision(root.getAt());
+    message.logical_time = root.getLogicalTime();
     switch (root.getKind().which()) {
       case wire::SpreadMessage::Kind::BULLETIN:
         message.body = read(root.getKind().getBulletin(), message.at);
