Place fewer flows at slow upstreams

Change: flows of an upstream are timed from the first data to the caller's end; an upstream that takes more than twice the service's usual time counts as loaded, and the estimate fades without new flows.

--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -9,6 +10,7 @@
 
 #include "rosemarydrum/forwarding/fleet_configuration.h"
 #include "rosemarydrum/forwarding/fleet_share.h"
+#include "rosemarydrum/forwarding/flow_time_estimate.h"
 #include "rosemarydrum/forwarding/handshake_health.h"
 #include "rosemarydrum/forwarding/placed.h"
 #include "rosemarydrum/forwarding/upstream_directory.h"
@@ -55,6 +57,8 @@
                  time_point now);
   /// It has ended, or goes to another one.
   void on_ended(upstream_index upstream);
+  /// A flow's request took so long at the upstream.
+  void on_flow_time(upstream_index upstream, duration took, time_point now);
   /// The handshake sent at `sent` was answered, or not in time.
   /// Returns true if the upstream had been silent.
   bool on_answered(upstream_index upstream, duration warmup, time_point sent,
@@ -81,18 +85,21 @@
     time_point cold_flow_at;
     /// Treated as cold, because it may have been restarted.
     time_point spared_until;
+    flow_time_estimate flow_time;
   };
 
   load& of(upstream_index upstream);
   bool has_cold_share(const fleet_service& service, upstream_key upstream,
                       const load& loaded, bool is_cold, time_point now) const;
-  double score(const known_upstream& known, const load& loaded) const;
+  double score(const known_upstream& known, const load& loaded,
+               const flow_time_estimate& usual, time_point now) const;
 
   placement_settings settings_;
   const upstream_directory& directory_;
   fleet_share share_;
   std::set<std::string, std::less<>> out_;
   std::vector<load> loads_;
+  std::map<std::string, flow_time_estimate> service_flow_time_;
   std::minstd_rand random_;
 };
 
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -156,6 +156,9 @@
       end(*flow);
       flow->stage = flow_stage::ended;
       if (flow->was_placed_here()) {
+        if (flow->first_data_at != time_point{}) {
+          placement_.on_flow_time(*upstream, now - flow->first_data_at, now);
+        }
         observer_.on_ended(*flow, directory_.at(*upstream), now);
       }
     }
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -72,10 +72,14 @@
   return now - loaded.cold_flow_at >= share_.member_period(bears);
 }
 
-double placement::score(const known_upstream& known, const load& loaded) const {
+double placement::score(const known_upstream& known, const load& loaded,
+                        const flow_time_estimate& usual,
+                        time_point now) const {
   const bool is_remote = known.record.data_centre != settings_.data_centre;
-  return (loaded.in_flight + (is_remote ? remote_surcharge : 0.0)) /
-         known.record.slots;
+  const double flows = loaded.in_flight + (is_remote ? remote_surcharge : 0.0);
+  const double slowness = loaded.flow_time.slowness(usual, now);
+  // A slow upstream counts as if it had further flows already.
+  return (flows * slowness + slowness - 1) / known.record.slots;
 }
 
 std::optional<placed> placement::choose(const fleet_service& service,
@@ -85,6 +89,7 @@
   best_choice cold;
   best_choice doubtful;
   std::uint32_t candidates = 0;
+  const auto& usual_time = service_flow_time_[service.name];
   for (const auto index : directory_.of_service(service.name)) {
     const auto& known = directory_.at(index);
     if (!known.takes_flows(now) || is_out(known.record.data_centre)) {
@@ -103,7 +108,7 @@
                                    : placement_reason::least_loaded,
                        loaded.in_flight};
     ++candidates;
-    const double rank = score(known, loaded);
+    const double rank = score(known, loaded, usual_time, now);
     if (index == avoided || loaded.health.is_avoided(now)) {
       doubtful.offer(offer, rank, random_);
     } else if (is_cold) {
@@ -139,6 +144,12 @@
   }
 }
 
+void placement::on_flow_time(upstream_index upstream, duration took,
+                             time_point now) {
+  of(upstream).flow_time.add(took, now);
+  service_flow_time_[directory_.at(upstream).record.service].add(took, now);
+}
+
 bool placement::on_answered(upstream_index upstream, duration warmup,
                             time_point sent, time_point now) {
   auto& loaded = of(upstream);
