--- a/apps/balancer-main.cc
+++ b/apps/balancer-main.cc
@@ -8,7 +8,7 @@
 #include "daemon/daemon.h"
 #include "daemon/log_setup.h"
 #include "rosemarydrum/error_kind.h"
-#include "rosemarydrum/settings.h"
+#include "rosemarydrum/settings/settings.h"
 
 namespace rosemarydrum {
 namespace {
--- a/apps/command/documents.cc
+++ b/apps/command/documents.cc
@@ -11,7 +11,7 @@
 template <typename T>
 result<stored<T>> decode(const document& from) {
   auto decoded = decode_document(from.key, from.text);
-  if (auto* problems = std::get_if<std::vector<config_problem>>(&decoded)) {
+  if (auto* problems = std::get_if<std::vector<field_error>>(&decoded)) {
     for (auto& problem : *problems) {
       problem.key = from.key + ": " + problem.key;
     }
@@ -28,7 +28,7 @@
 template <>
 result<stored<questionnaire>> decode(const document& from) {
   auto decoded = decode_questionnaire(from.text);
-  if (auto* problems = std::get_if<std::vector<config_problem>>(&decoded)) {
+  if (auto* problems = std::get_if<std::vector<field_error>>(&decoded)) {
     return fail(error_kind::bad_document, *problems);
   }
   auto& good = std::get<decoded_questionnaire>(decoded);
--- a/apps/command/documents.h
+++ b/apps/command/documents.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "command/subcommand.h"
-#include "rosemarydrum/config_codec.h"
-#include "rosemarydrum/questionnaire.h"
+#include "rosemarydrum/configuration/config_codec.h"
+#include "rosemarydrum/configuration/questionnaire.h"
 
 /// Typed access to the store's documents.
 namespace rosemarydrum {
--- a/apps/command/driven_store.h
+++ b/apps/command/driven_store.h
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "command/store_access.h"
-#include "rosemarydrum/config_editor.h"
-#include "rosemarydrum/config_store.h"
+#include "rosemarydrum/configuration/config_editor.h"
+#include "rosemarydrum/configuration/config_store.h"
 
 namespace rosemarydrum {
 
--- a/apps/command/events_command.cc
+++ b/apps/command/events_command.cc
@@ -4,7 +4,7 @@
 #include "command/documents.h"
 #include "command/subcommands.h"
 #include "command/wait_for_revision.h"
-#include "rosemarydrum/event_log.h"
+#include "rosemarydrum/events/event_log.h"
 #include "rosemarydrum/number_text.h"
 
 namespace rosemarydrum {
--- a/apps/command/fleet_client.h
+++ b/apps/command/fleet_client.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "rosemarydrum/balancer.h"
-#include "rosemarydrum/configuration.h"
-#include "rosemarydrum/event_record.h"
+#include "rosemarydrum/balancer/balancer.h"
+#include "rosemarydrum/configuration/configuration.h"
+#include "rosemarydrum/events/event_record.h"
 
 namespace rosemarydrum {
 
--- a/apps/command/questionnaire_command.cc
+++ b/apps/command/questionnaire_command.cc
@@ -10,8 +10,7 @@
                                    const std::string& file) {
   BOOST_LEAF_AUTO(text, read_file(context, file));
   auto decoded = decode_questionnaire(text);
-  if (const auto* problems =
-          std::get_if<std::vector<config_problem>>(&decoded)) {
+  if (const auto* problems = std::get_if<std::vector<field_error>>(&decoded)) {
     return fail(error_kind::bad_document, *problems);
   }
   return std::get<decoded_questionnaire>(decoded).value;
--- a/apps/command/report.h
+++ b/apps/command/report.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "rosemarydrum/settings.h"
+#include "rosemarydrum/settings/settings.h"
 
 namespace rosemarydrum {
 
--- a/apps/command/result.h
+++ b/apps/command/result.h
@@ -6,7 +6,7 @@
 #include <utility>
 #include <vector>
 
-#include "rosemarydrum/config_codec.h"
+#include "rosemarydrum/configuration/config_codec.h"
 #include "rosemarydrum/error_kind.h"
 #include "rosemarydrum/field_error.h"
 
@@ -29,14 +29,9 @@
   return fail(kind, to_line(error));
 }
 
-inline std::string to_line(const config_problem& problem) {
-  return to_line(
-      field_error{problem.key, problem.value, problem.allowed, problem.fix});
-}
-
 /// One line for each problem.
 inline boost::leaf::error_id fail(error_kind kind,
-                                  const std::vector<config_problem>& problems) {
+                                  const std::vector<field_error>& problems) {
   std::string lines;
   for (const auto& problem : problems) {
     lines += lines.empty() ? "" : "\n";
--- a/apps/command/rpc_fleet_client.cc
+++ b/apps/command/rpc_fleet_client.cc
@@ -9,7 +9,7 @@
 #include <utility>
 
 #include "peer_rpc.capnp.h"
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
 
 namespace rosemarydrum {
 namespace {
--- a/apps/command/service_command.cc
+++ b/apps/command/service_command.cc
@@ -9,8 +9,7 @@
 
 result<service> decode_new(const std::string& key, const std::string& text) {
   auto decoded = decode_document(key, text);
-  if (const auto* problems =
-          std::get_if<std::vector<config_problem>>(&decoded)) {
+  if (const auto* problems = std::get_if<std::vector<field_error>>(&decoded)) {
     return fail(error_kind::bad_document, *problems);
   }
   if (auto* value =
--- a/apps/command/store_access.h
+++ b/apps/command/store_access.h
@@ -5,8 +5,8 @@
 #include <vector>
 
 #include "command/result.h"
-#include "rosemarydrum/config_codec.h"
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/configuration/config_codec.h"
+#include "rosemarydrum/configuration/configuration.h"
 
 namespace rosemarydrum {
 
--- a/apps/command/subcommand.h
+++ b/apps/command/subcommand.h
@@ -13,7 +13,7 @@
 #include "command/report.h"
 #include "command/result.h"
 #include "command/store_access.h"
-#include "rosemarydrum/settings.h"
+#include "rosemarydrum/settings/settings.h"
 
 namespace rosemarydrum {
 
--- a/apps/daemon/daemon.cc
+++ b/apps/daemon/daemon.cc
@@ -8,13 +8,13 @@
 #include <random>
 #include <thread>
 
-#include "io/addresses.h"
 #include "daemon/data_thread.h"
 #include "daemon/http_config_store.h"
 #include "daemon/listeners.h"
 #include "daemon/metrics_thread.h"
 #include "daemon/peer_rpc_thread.h"
 #include "daemon/store_thread.h"
+#include "io/addresses.h"
 
 namespace rosemarydrum {
 namespace {
--- a/apps/daemon/daemon.h
+++ b/apps/daemon/daemon.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "rosemarydrum/settings.h"
+#include "rosemarydrum/settings/settings.h"
 
 namespace rosemarydrum {
 
--- a/apps/daemon/data_output.cc
+++ b/apps/daemon/data_output.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 
-#include "io/addresses.h"
 #include "daemon/data_thread.h"
+#include "io/addresses.h"
 
 /// What leaves the data thread.
 namespace rosemarydrum {
--- a/apps/daemon/data_thread.h
+++ b/apps/daemon/data_thread.h
@@ -8,7 +8,7 @@
 
 #include "daemon/message_rate.h"
 #include "daemon/rings.h"
-#include "rosemarydrum/balancer.h"
+#include "rosemarydrum/balancer/balancer.h"
 #include "rosemarydrum/runtime_clock.h"
 
 namespace rosemarydrum {
--- a/apps/daemon/event_line.cc
+++ b/apps/daemon/event_line.cc
@@ -4,7 +4,7 @@
 
 #include <sstream>
 
-#include "rosemarydrum/event_log.h"
+#include "rosemarydrum/events/event_log.h"
 
 namespace rosemarydrum {
 namespace {
--- a/apps/daemon/event_line.h
+++ b/apps/daemon/event_line.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "rosemarydrum/event_record.h"
+#include "rosemarydrum/events/event_record.h"
 
 namespace rosemarydrum {
 
--- a/apps/daemon/metrics_thread.cc
+++ b/apps/daemon/metrics_thread.cc
@@ -3,8 +3,8 @@
 #include <boost/asio/post.hpp>
 
 #include "daemon/event_line.h"
-#include "io/http_session.h"
 #include "daemon/metrics_text.h"
+#include "io/http_session.h"
 
 namespace rosemarydrum {
 namespace {
@@ -45,7 +45,8 @@
     return {200, metrics_text(latest_, rings_)};
   }
   if (target == "/healthz") {
-    return healthy ? http_page{200, "ok\n"} : http_page{503, "data thread hangs\n"};
+    return healthy ? http_page{200, "ok\n"}
+                   : http_page{503, "data thread hangs\n"};
   }
   if (target == "/readyz") {
     const bool ready = healthy && latest_.ready && !latest_.leaving;
--- a/apps/daemon/peer_link.h
+++ b/apps/daemon/peer_link.h
@@ -4,7 +4,7 @@
 
 #include <deque>
 
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/apps/daemon/rings.h
+++ b/apps/daemon/rings.h
@@ -5,10 +5,10 @@
 #include <variant>
 #include <vector>
 
-#include "io/bounded_ring.h"
 #include "daemon/metrics_snapshot.h"
-#include "rosemarydrum/balancer.h"
-#include "rosemarydrum/peer_message.h"
+#include "io/bounded_ring.h"
+#include "rosemarydrum/balancer/balancer.h"
+#include "rosemarydrum/balancer/peer_message.h"
 
 /// What the daemon's threads send each other.
 namespace rosemarydrum {
--- a/apps/daemon/rpc_limits.h
+++ b/apps/daemon/rpc_limits.h
@@ -3,7 +3,7 @@
 #include <capnp/message.h>
 #include <kj/time.h>
 
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
 
 namespace rosemarydrum {
 
--- a/apps/daemon/store_answer.h
+++ b/apps/daemon/store_answer.h
@@ -4,7 +4,7 @@
 #include <string_view>
 
 #include "io/http_connection.h"
-#include "rosemarydrum/config_store.h"
+#include "rosemarydrum/configuration/config_store.h"
 
 /// What the store's HTTP answers mean (docs/store-protocol.md).
 namespace rosemarydrum {
--- a/apps/daemon/store_json.cc
+++ b/apps/daemon/store_json.cc
@@ -4,7 +4,7 @@
 #include <boost/json/serialize.hpp>
 #include <charconv>
 
-#include "rosemarydrum/config_codec.h"
+#include "rosemarydrum/configuration/config_codec.h"
 
 namespace rosemarydrum::store_json {
 namespace {
--- a/apps/daemon/store_json.h
+++ b/apps/daemon/store_json.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/configuration/configuration.h"
 
 /// JSON bodies of the store's protocol (docs/store-protocol.md).
 namespace rosemarydrum::store_json {
--- a/apps/daemon/store_poller.h
+++ b/apps/daemon/store_poller.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "io/http_connection.h"
-#include "rosemarydrum/config_store.h"
+#include "rosemarydrum/configuration/config_store.h"
 
 namespace rosemarydrum {
 
--- a/apps/daemon/store_thread.h
+++ b/apps/daemon/store_thread.h
@@ -5,7 +5,7 @@
 #include <optional>
 
 #include "daemon/rings.h"
-#include "rosemarydrum/config_store.h"
+#include "rosemarydrum/configuration/config_store.h"
 #include "rosemarydrum/runtime_clock.h"
 
 namespace rosemarydrum {
--- a/apps/docs-main.cc
+++ b/apps/docs-main.cc
@@ -2,7 +2,7 @@
 #include <iostream>
 #include <string>
 
-#include "rosemarydrum/reference_pages.h"
+#include "rosemarydrum/events/reference_pages.h"
 
 /// Writes the generated pages into a directory: rosemarydrum-docs DIRECTORY.
 int main(int argc, char** argv) {
--- a/apps/forwarder/belief_journal.cc
+++ b/apps/forwarder/belief_journal.cc
@@ -74,8 +74,8 @@
 }
 
 void belief_journal::on_member(const kv_item& item, time_point now) {
-  const auto member = item.removed ? std::nullopt
-                                   : decode_member(item.key, item.value);
+  const auto member =
+      item.removed ? std::nullopt : decode_member(item.key, item.value);
   if (member) {
     log_.log(event_id::member_listed, now, [&] {
       return json::object{{"member", member->name},
@@ -92,8 +92,9 @@
 }
 
 void belief_journal::on_registered(bool written, time_point now) {
-  log_.log(event_id::member_registered, now,
-           [&] { return json::object{{"written", written}}; });
+  log_.log(event_id::member_registered, now, [&] {
+    return json::object{{"written", written}};
+  });
 }
 
 void belief_journal::on_store(error_kind error, time_point now) {
--- a/apps/forwarder/control_loop.cc
+++ b/apps/forwarder/control_loop.cc
@@ -293,8 +293,8 @@
         const bytes_view body(
             reinterpret_cast<const std::uint8_t*>(answer.body.data()),
             answer.body.size());
-        const auto message = answer.status == 200 ? decode_spread_message(body)
-                                                  : std::nullopt;
+        const auto message =
+            answer.status == 200 ? decode_spread_message(body) : std::nullopt;
         if (message) {
           spread_output out;
           clock_.witness(message->logical_time);
--- a/apps/forwarder/control_loop.h
+++ b/apps/forwarder/control_loop.h
@@ -13,8 +13,8 @@
 #include "io/http_connection.h"
 #include "io/http_server.h"
 #include "io/runtime_timer.h"
+#include "rosemarydrum/events/logical_clock.h"
 #include "rosemarydrum/forwarding/fleet_schema.h"
-#include "rosemarydrum/logical_clock.h"
 #include "rosemarydrum/spread/member_registration.h"
 #include "rosemarydrum/spread/replica_spread.h"
 #include "rosemarydrum/store/item_replica.h"
@@ -34,8 +34,7 @@
 
   control_loop(boost::asio::io_context& context, sockets bound, kv_store& store,
                const fleet_schema& schema, spread_settings settings,
-               forwarder_rings& joined, event_logger log,
-               logical_clock& clock);
+               forwarder_rings& joined, event_logger log, logical_clock& clock);
 
   void start();
   /// A planned stop: not ready any more, and other members take over.
--- a/apps/forwarder/data_loop.cc
+++ b/apps/forwarder/data_loop.cc
@@ -35,9 +35,8 @@
       caller_port_(socket_.local_endpoint().port()) {
   rings_.to_data.on_push([this] {
     asio::post(context_, [this] {
-      rings_.to_data.drain([this](control_update&& update) {
-        take_update(std::move(update));
-      });
+      rings_.to_data.drain(
+          [this](control_update&& update) { take_update(std::move(update)); });
     });
   });
 }
@@ -98,8 +97,7 @@
 
 void data_loop::on_datagram(std::size_t size, time_point now) {
   ++metrics_.packets_received;
-  packets_received_.store(metrics_.packets_received,
-                          std::memory_order_relaxed);
+  packets_received_.store(metrics_.packets_received, std::memory_order_relaxed);
   const bytes_view datagram(buffer_.data() + codec_.headroom(), size);
   const auto packet = codec_.decode(datagram);
   if (!packet) {
--- a/apps/forwarder/flow_journal.cc
+++ b/apps/forwarder/flow_journal.cc
@@ -57,8 +57,7 @@
     return with_belief(
         {{"flow", text_of(flow.ends)},
          {"route", flow.route},
-         {"cause",
-          cause == repeat_cause::timeout ? "timeout" : "callers_copy"},
+         {"cause", cause == repeat_cause::timeout ? "timeout" : "callers_copy"},
          {"unanswered", text_of(silent.record.key)},
          {"upstream", text_of(upstream.record.key)},
          {"in_flight", flow.choice.in_flight},
@@ -183,15 +182,13 @@
 void flow_journal::on_ability(bool unable, int opened, int failed,
                               duration pause, time_point now) {
   if (!unable) {
-    log_.log(event_id::service_able, now,
-             [&] { return with_belief({}, now); });
+    log_.log(event_id::service_able, now, [&] { return with_belief({}, now); });
     return;
   }
   log_.log(event_id::service_unable, now, [&] {
-    return with_belief({{"opened", opened},
-                        {"failed", failed},
-                        {"pause_ms", whole_ms(pause)}},
-                       now);
+    return with_belief(
+        {{"opened", opened}, {"failed", failed}, {"pause_ms", whole_ms(pause)}},
+        now);
   });
 }
 
--- a/apps/forwarder/forwarder_daemon.cc
+++ b/apps/forwarder/forwarder_daemon.cc
@@ -103,9 +103,8 @@
       control_(control_io_,
                {bind_udp(control_io_, options_.peer_listen),
                 tcp::acceptor(control_io_, to_tcp(options_.peer_listen))},
-               *store_, platform.schema,
-               spread_of(options_, random_number()), rings_,
-               logger(rings_.control_log, clock_, options_), clock_),
+               *store_, platform.schema, spread_of(options_, random_number()),
+               rings_, logger(rings_.control_log, clock_, options_), clock_),
       ready_(tcp::acceptor(control_io_, to_tcp(options_.ready_listen)),
              [this, target = platform.ready_target](std::string_view wanted) {
                if (wanted != target) {
--- a/apps/forwarder/forwarder_daemon.h
+++ b/apps/forwarder/forwarder_daemon.h
@@ -11,7 +11,7 @@
 #include "io/http_server.h"
 #include "io/runtime_timer.h"
 #include "log/log_writer.h"
-#include "rosemarydrum/logical_clock.h"
+#include "rosemarydrum/events/logical_clock.h"
 
 namespace rosemarydrum {
 
--- a/apps/forwarder/measured_store.cc
+++ b/apps/forwarder/measured_store.cc
@@ -56,9 +56,9 @@
 
 void measured_store::append_to(metrics_page& page) const {
   for (const auto& [which, count] : calls_) {
-    const auto name = "store_calls_" +
-                      std::string(kind_names[static_cast<std::size_t>(
-                          which.first)]);
+    const auto name =
+        "store_calls_" +
+        std::string(kind_names[static_cast<std::size_t>(which.first)]);
     page.counter(name, "outcome", answer_of(which.second).name, count);
   }
   page.histogram("store_call_seconds", call_time_);
--- a/apps/forwarder/settings_source.h
+++ b/apps/forwarder/settings_source.h
@@ -4,8 +4,8 @@
 #include <variant>
 #include <vector>
 
-#include "rosemarydrum/forwarder_options.h"
-#include "rosemarydrum/settings.h"
+#include "rosemarydrum/settings/forwarder_options.h"
+#include "rosemarydrum/settings/settings.h"
 
 namespace rosemarydrum {
 
--- a/apps/io/http_connection.cc
+++ b/apps/io/http_connection.cc
@@ -22,10 +22,7 @@
 }  // namespace
 
 http_connection::http_connection(asio::io_context& io, endpoint_type server)
-    : io_(io),
-      server_(std::move(server)),
-      deadline_(io),
-      connect_timer_(io) {}
+    : io_(io), server_(std::move(server)), deadline_(io), connect_timer_(io) {}
 
 void http_connection::call(http_call wanted, callback done) {
   if (calls_.size() >= max_waiting_calls) {
--- a/apps/io/http_session.cc
+++ b/apps/io/http_session.cc
@@ -14,7 +14,8 @@
 }  // namespace
 
 http_session::http_session(boost::asio::ip::tcp::socket socket,
-                           std::shared_ptr<int> count, http_server::handler handle)
+                           std::shared_ptr<int> count,
+                           http_server::handler handle)
     : stream_(std::move(socket)),
       count_(std::move(count)),
       handle_(std::move(handle)) {
--- a/apps/log/event_logger.h
+++ b/apps/log/event_logger.h
@@ -9,9 +9,9 @@
 
 #include "io/bounded_ring.h"
 #include "log/log_entry.h"
-#include "rosemarydrum/event_budget.h"
-#include "rosemarydrum/event_log.h"
-#include "rosemarydrum/logical_clock.h"
+#include "rosemarydrum/events/event_budget.h"
+#include "rosemarydrum/events/event_log.h"
+#include "rosemarydrum/events/logical_clock.h"
 
 namespace rosemarydrum {
 
--- a/apps/log/log_entry.h
+++ b/apps/log/log_entry.h
@@ -3,7 +3,7 @@
 #include <boost/json/object.hpp>
 #include <cstdint>
 
-#include "rosemarydrum/event_record.h"
+#include "rosemarydrum/events/event_record.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/bench/capacity_cell.h
+++ b/bench/capacity_cell.h
@@ -6,7 +6,7 @@
 
 #include "capacity_documents.h"
 #include "capacity_slope.h"
-#include "rosemarydrum/balancer.h"
+#include "rosemarydrum/balancer/balancer.h"
 
 namespace rosemarydrum::bench {
 
--- a/bench/capacity_control.cc
+++ b/bench/capacity_control.cc
@@ -6,9 +6,9 @@
 #include "capacity_memory.h"
 #include "capacity_parts.h"
 #include "capacity_sizes.h"
-#include "rosemarydrum/config_sync.h"
+#include "rosemarydrum/configuration/config_sync.h"
+#include "rosemarydrum/requests/token.h"
 #include "rosemarydrum/runtime_clock.h"
-#include "rosemarydrum/token.h"
 
 namespace rosemarydrum::bench {
 namespace {
--- a/bench/capacity_documents.h
+++ b/bench/capacity_documents.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "rosemarydrum/config_codec.h"
+#include "rosemarydrum/configuration/config_codec.h"
 
 namespace rosemarydrum::bench {
 
--- a/bench/capacity_records.cc
+++ b/bench/capacity_records.cc
@@ -2,9 +2,9 @@
 #include "capacity_parts.h"
 #include "capacity_sizes.h"
 #include "capacity_slope.h"
-#include "rosemarydrum/event_log.h"
-#include "rosemarydrum/request_owner.h"
-#include "rosemarydrum/request_witness.h"
+#include "rosemarydrum/events/event_log.h"
+#include "rosemarydrum/requests/request_owner.h"
+#include "rosemarydrum/requests/request_witness.h"
 #include "rosemarydrum/runtime_clock.h"
 
 namespace rosemarydrum::bench {
--- a/bench/capacity_state.cc
+++ b/bench/capacity_state.cc
@@ -5,9 +5,9 @@
 #include "capacity_parts.h"
 #include "capacity_sizes.h"
 #include "capacity_slope.h"
-#include "rosemarydrum/admission.h"
-#include "rosemarydrum/flow_table.h"
-#include "rosemarydrum/slot_table.h"
+#include "rosemarydrum/flows/flow_table.h"
+#include "rosemarydrum/requests/admission.h"
+#include "rosemarydrum/slots/slot_table.h"
 
 namespace rosemarydrum::bench {
 namespace {
--- a/bench/flow-bench.cc
+++ b/bench/flow-bench.cc
@@ -2,9 +2,9 @@
 
 #include <random>
 
-#include "rosemarydrum/flow_table.h"
-#include "rosemarydrum/packet.h"
-#include "rosemarydrum/token.h"
+#include "rosemarydrum/flows/flow_table.h"
+#include "rosemarydrum/requests/packet.h"
+#include "rosemarydrum/requests/token.h"
 
 namespace rosemarydrum {
 namespace {
--- a/bench/flow-survival.cc
+++ b/bench/flow-survival.cc
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
-#include "rosemarydrum/configuration.h"
-#include "rosemarydrum/flow_table.h"
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
+#include "rosemarydrum/configuration/configuration.h"
+#include "rosemarydrum/flows/flow_table.h"
 #include "rosemarydrum/rendezvous.h"
 
 namespace rosemarydrum {
--- a/bench/slot_table-bench.cc
+++ b/bench/slot_table-bench.cc
@@ -2,7 +2,7 @@
 
 #include <deque>
 
-#include "rosemarydrum/slot_table.h"
+#include "rosemarydrum/slots/slot_table.h"
 
 namespace rosemarydrum {
 namespace {
--- a/bench/slot_table_assignments.cc
+++ b/bench/slot_table_assignments.cc
@@ -1,7 +1,7 @@
 #include <map>
 
 #include "assignments.h"
-#include "rosemarydrum/slot_table.h"
+#include "rosemarydrum/slots/slot_table.h"
 
 namespace rosemarydrum::bench {
 namespace {
--- a/examples/admission-example.cc
+++ b/examples/admission-example.cc
@@ -1,7 +1,7 @@
 #include <iostream>
 
-#include "rosemarydrum/admission.h"
-#include "rosemarydrum/config_codec.h"
+#include "rosemarydrum/configuration/config_codec.h"
+#include "rosemarydrum/requests/admission.h"
 #include "rosemarydrum/runtime_clock.h"
 
 namespace rosemarydrum {
--- a/include/rosemarydrum/address_text.h
+++ b/include/rosemarydrum/address_text.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/configuration/configuration.h"
 #include "rosemarydrum/types.h"
 
 /// Addresses in dotted decimal, without leading zeros.
--- a/include/rosemarydrum/action.h
+++ b/include/rosemarydrum/balancer/action.h
@@ -4,9 +4,9 @@
 #include <variant>
 #include <vector>
 
-#include "rosemarydrum/event_record.h"
-#include "rosemarydrum/packet.h"
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
+#include "rosemarydrum/events/event_record.h"
+#include "rosemarydrum/requests/packet.h"
 #include "rosemarydrum/types.h"
 
 /// What the parts ask their host to do.
--- a/include/rosemarydrum/balancer.h
+++ b/include/rosemarydrum/balancer/balancer.h
@@ -6,9 +6,9 @@
 #include <span>
 #include <vector>
 
-#include "rosemarydrum/action.h"
-#include "rosemarydrum/configuration.h"
-#include "rosemarydrum/event_log.h"
+#include "rosemarydrum/balancer/action.h"
+#include "rosemarydrum/configuration/configuration.h"
+#include "rosemarydrum/events/event_log.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/include/rosemarydrum/peer_message.h
+++ b/include/rosemarydrum/balancer/peer_message.h
@@ -6,10 +6,10 @@
 #include <variant>
 #include <vector>
 
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/configuration/configuration.h"
 #include "rosemarydrum/error_kind.h"
-#include "rosemarydrum/event_record.h"
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/events/event_record.h"
+#include "rosemarydrum/requests/packet.h"
 #include "rosemarydrum/types.h"
 
 /// The messages between balancers.
--- a/include/rosemarydrum/config_codec.h
+++ b/include/rosemarydrum/configuration/config_codec.h
@@ -8,7 +8,8 @@
 #include <vector>
 
 #include "rosemarydrum/address_text.h"
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/configuration/configuration.h"
+#include "rosemarydrum/field_error.h"
 
 /// JSON documents of the configuration (docs/store-protocol.md).
 namespace rosemarydrum {
@@ -24,17 +25,6 @@
 inline constexpr std::string_view service_prefix = "service/";
 inline constexpr std::string_view data_centre_prefix = "data-centre/";
 
-/// One wrong field: its path, what it says, what it may say, how to mend it.
-struct config_problem {
-  std::string key;
-  std::string value;
-  std::string allowed;
-  std::string fix;
-
-  friend bool operator==(const config_problem&,
-                         const config_problem&) = default;
-};
-
 /// Monostate: the document is deleted.
 using document_value = std::variant<std::monostate, service, data_centre>;
 
@@ -44,8 +34,7 @@
   std::vector<std::string> operations;
 };
 
-using decode_result =
-    std::variant<decoded_document, std::vector<config_problem>>;
+using decode_result = std::variant<decoded_document, std::vector<field_error>>;
 
 /// Whether balancers take in documents of this key.
 bool is_configuration_key(std::string_view key);
@@ -65,13 +54,12 @@
 /// Problems between documents: an id, address or upstream used twice, an
 /// unknown data centre, overlapping prefixes of different teams in one
 /// service. Documents that do not decode add their own problems.
-std::vector<config_problem> check_documents(
-    std::span<const document> documents);
+std::vector<field_error> check_documents(std::span<const document> documents);
 
 /// Problems of `changed` and those that it causes among `documents`. Others
 /// that are wrong already do not prevent a change.
-std::vector<config_problem> check_change(std::vector<document> documents,
-                                         const document& changed);
+std::vector<field_error> check_change(std::vector<document> documents,
+                                      const document& changed);
 
 /// `in` or `out`.
 std::string_view name_of(service_state state);
--- a/include/rosemarydrum/config_editor.h
+++ b/include/rosemarydrum/configuration/config_editor.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "rosemarydrum/config_codec.h"
-#include "rosemarydrum/config_store.h"
+#include "rosemarydrum/configuration/config_codec.h"
+#include "rosemarydrum/configuration/config_store.h"
 
 namespace rosemarydrum {
 
@@ -40,7 +40,7 @@
   /// A revision of the document that includes the change.
   revision changed{};
   /// With bad_document: what the change would break.
-  std::vector<config_problem> problems;
+  std::vector<field_error> problems;
 };
 
 /// Read, modify, write with compare-and-swap. Retries reads, and writes with
--- a/include/rosemarydrum/config_store.h
+++ b/include/rosemarydrum/configuration/config_store.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/configuration/configuration.h"
 #include "rosemarydrum/error_kind.h"
 #include "rosemarydrum/types.h"
 
--- a/include/rosemarydrum/config_sync.h
+++ b/include/rosemarydrum/configuration/config_sync.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "rosemarydrum/action.h"
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/balancer/action.h"
+#include "rosemarydrum/configuration/configuration.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/include/rosemarydrum/questionnaire.h
+++ b/include/rosemarydrum/configuration/questionnaire.h
@@ -6,8 +6,8 @@
 #include <variant>
 #include <vector>
 
-#include "rosemarydrum/config_codec.h"
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/configuration/config_codec.h"
+#include "rosemarydrum/configuration/configuration.h"
 #include "rosemarydrum/error_kind.h"
 
 /// How a calling team asks for approval, and how an owner grants it.
@@ -45,7 +45,7 @@
 };
 
 /// All wrong fields are reported.
-std::variant<decoded_questionnaire, std::vector<config_problem>>
+std::variant<decoded_questionnaire, std::vector<field_error>>
 decode_questionnaire(std::string_view text);
 
 /// Text that decodes to the same value.
@@ -55,7 +55,7 @@
 /// A change that is refused; nothing is written.
 struct refused_change {
   error_kind error = error_kind::none;
-  config_problem problem;
+  field_error problem;
 };
 
 /// The approval that `answers` ask for. A team keeps its caller id; ids of
--- a/include/rosemarydrum/event_log.h
+++ b/include/rosemarydrum/events/event_log.h
@@ -9,9 +9,9 @@
 #include <string_view>
 #include <vector>
 
-#include "rosemarydrum/event_budget.h"
-#include "rosemarydrum/event_record.h"
-#include "rosemarydrum/logical_clock.h"
+#include "rosemarydrum/events/event_budget.h"
+#include "rosemarydrum/events/event_record.h"
+#include "rosemarydrum/events/logical_clock.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/include/rosemarydrum/flow_resolver.h
+++ b/include/rosemarydrum/flows/flow_resolver.h
@@ -5,7 +5,7 @@
 #include <span>
 #include <vector>
 
-#include "rosemarydrum/action.h"
+#include "rosemarydrum/balancer/action.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/include/rosemarydrum/flow_table.h
+++ b/include/rosemarydrum/flows/flow_table.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <vector>
 
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/include/rosemarydrum/forwarding/flow_packet.h
+++ b/include/rosemarydrum/forwarding/flow_packet.h
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/include/rosemarydrum/forwarding/forwarder_observer.h
+++ b/include/rosemarydrum/forwarding/forwarder_observer.h
@@ -37,8 +37,8 @@
                                const known_upstream& /*silent*/,
                                duration /*waited*/, repeat_cause /*cause*/,
                                time_point /*now*/) {}
-  virtual void on_refused(const flow_packet& /*packet*/,
-                          fate_reason /*reason*/, const std::string& /*route*/,
+  virtual void on_refused(const flow_packet& /*packet*/, fate_reason /*reason*/,
+                          const std::string& /*route*/,
                           const std::string& /*service*/,
                           const upstream_census& /*census*/,
                           time_point /*now*/) {}
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -55,8 +55,7 @@
                                time_point now);
 
   /// A flow has been placed at the upstream.
-  void on_placed(upstream_index upstream, bool uses_cold_share,
-                 time_point now);
+  void on_placed(upstream_index upstream, bool uses_cold_share, time_point now);
   /// It has ended, or goes to another one.
   void on_ended(upstream_index upstream);
   /// A flow's request took so long at the upstream.
--- a/include/rosemarydrum/membership.h
+++ b/include/rosemarydrum/membership/membership.h
@@ -4,9 +4,9 @@
 #include <optional>
 #include <vector>
 
-#include "rosemarydrum/action.h"
-#include "rosemarydrum/configuration.h"
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/balancer/action.h"
+#include "rosemarydrum/configuration/configuration.h"
+#include "rosemarydrum/requests/packet.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/include/rosemarydrum/admission.h
+++ b/include/rosemarydrum/requests/admission.h
@@ -2,9 +2,9 @@
 
 #include <unordered_map>
 
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/configuration/configuration.h"
 #include "rosemarydrum/error_kind.h"
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/include/rosemarydrum/request_owner.h
+++ b/include/rosemarydrum/requests/request_owner.h
@@ -3,8 +3,8 @@
 #include <memory>
 #include <vector>
 
-#include "rosemarydrum/action.h"
-#include "rosemarydrum/token.h"
+#include "rosemarydrum/balancer/action.h"
+#include "rosemarydrum/requests/token.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/include/rosemarydrum/token.h
+++ b/include/rosemarydrum/requests/token.h
@@ -2,7 +2,7 @@
 
 #include <optional>
 
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/include/rosemarydrum/settings.h
+++ b/include/rosemarydrum/settings/settings.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "rosemarydrum/field_error.h"
-#include "rosemarydrum/forwarder_options.h"
+#include "rosemarydrum/settings/forwarder_options.h"
 #include "rosemarydrum/types.h"
 
 /// The settings of the programs: flags, then environment variables, then the
--- a/include/rosemarydrum/slot_table.h
+++ b/include/rosemarydrum/slots/slot_table.h
@@ -4,8 +4,8 @@
 #include <span>
 #include <vector>
 
-#include "rosemarydrum/action.h"
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/balancer/action.h"
+#include "rosemarydrum/configuration/configuration.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/include/rosemarydrum/spread/spread_message.h
+++ b/include/rosemarydrum/spread/spread_message.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <variant>
 
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 #include "rosemarydrum/store/item_replica.h"
 #include "rosemarydrum/types.h"
 
--- a/src/action_path.cc
+++ b/src/balancer/action_path.cc
@@ -1,4 +1,4 @@
-#include "balancer_state.h"
+#include "balancer/balancer_state.h"
 #include "rosemarydrum/rendezvous.h"
 
 /// Carries out what the parts want done.
--- a/src/balancer.cc
+++ b/src/balancer/balancer.cc
@@ -1,6 +1,6 @@
-#include "rosemarydrum/balancer.h"
+#include "rosemarydrum/balancer/balancer.h"
 
-#include "balancer_state.h"
+#include "balancer/balancer_state.h"
 
 namespace rosemarydrum {
 namespace {
--- a/src/balancer_state.cc
+++ b/src/balancer/balancer_state.cc
@@ -1,4 +1,4 @@
-#include "balancer_state.h"
+#include "balancer/balancer_state.h"
 
 #include <algorithm>
 #include <set>
--- a/src/balancer_state.h
+++ b/src/balancer/balancer_state.h
@@ -6,19 +6,19 @@
 #include <set>
 #include <unordered_map>
 
-#include "ask_registry.h"
-#include "lease_duty.h"
-#include "request_forwarder.h"
-#include "rosemarydrum/admission.h"
-#include "rosemarydrum/balancer.h"
-#include "rosemarydrum/config_sync.h"
-#include "rosemarydrum/flow_resolver.h"
-#include "rosemarydrum/flow_table.h"
-#include "rosemarydrum/membership.h"
-#include "rosemarydrum/request_owner.h"
-#include "rosemarydrum/request_witness.h"
-#include "rosemarydrum/slot_table.h"
-#include "rosemarydrum/token.h"
+#include "membership/lease_duty.h"
+#include "requests/request_forwarder.h"
+#include "rosemarydrum/balancer/balancer.h"
+#include "rosemarydrum/configuration/config_sync.h"
+#include "rosemarydrum/flows/flow_resolver.h"
+#include "rosemarydrum/flows/flow_table.h"
+#include "rosemarydrum/membership/membership.h"
+#include "rosemarydrum/requests/admission.h"
+#include "rosemarydrum/requests/request_owner.h"
+#include "rosemarydrum/requests/request_witness.h"
+#include "rosemarydrum/requests/token.h"
+#include "rosemarydrum/slots/slot_table.h"
+#include "slots/ask_registry.h"
 
 namespace rosemarydrum {
 
--- a/src/caller_path.cc
+++ b/src/balancer/caller_path.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 
-#include "balancer_state.h"
-#include "refusal.h"
+#include "balancer/balancer_state.h"
+#include "requests/refusal.h"
 #include "rosemarydrum/runtime_clock.h"
 
 /// What the fabric brings: admission, tokens, requests.
--- a/src/flow_path.cc
+++ b/src/balancer/flow_path.cc
@@ -1,5 +1,5 @@
-#include "balancer_state.h"
-#include "refusal.h"
+#include "balancer/balancer_state.h"
+#include "requests/refusal.h"
 
 /// Packets of established flows, and what upstreams send.
 namespace rosemarydrum {
--- a/src/peer_bounds.cc
+++ b/src/balancer/peer_bounds.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "peer_codec.h"
+#include "balancer/peer_codec.h"
 
 namespace rosemarydrum::detail {
 namespace {
--- a/src/peer_codec.h
+++ b/src/balancer/peer_codec.h
@@ -3,7 +3,7 @@
 #include <cstddef>
 
 #include "peer.capnp.h"
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
 
 /// The codec of peer messages, one overload for each type.
 namespace rosemarydrum::detail {
--- a/src/peer_message.cc
+++ b/src/balancer/peer_message.cc
@@ -1,11 +1,11 @@
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
 
 #include <capnp/message.h>
 #include <capnp/serialize-packed.h>
 #include <kj/exception.h>
 #include <kj/io.h>
 
-#include "peer_codec.h"
+#include "balancer/peer_codec.h"
 #include "quiet_callback.h"
 
 namespace rosemarydrum {
--- a/src/peer_path.cc
+++ b/src/balancer/peer_path.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "balancer_state.h"
+#include "balancer/balancer_state.h"
 
 /// What peers send, and what the parts of this balancer send each other.
 namespace rosemarydrum {
--- a/src/peer_values.cc
+++ b/src/balancer/peer_values.cc
@@ -1,4 +1,4 @@
-#include "peer_values.h"
+#include "balancer/peer_values.h"
 
 namespace rosemarydrum::detail {
 
--- a/src/peer_values.h
+++ b/src/balancer/peer_values.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "peer.capnp.h"
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
 
 /// Values that several peer messages contain.
 namespace rosemarydrum::detail {
--- a/src/peer_write.cc
+++ b/src/balancer/peer_write.cc
@@ -1,5 +1,5 @@
-#include "peer_codec.h"
-#include "peer_values.h"
+#include "balancer/peer_codec.h"
+#include "balancer/peer_values.h"
 
 namespace rosemarydrum::detail {
 namespace {
--- a/src/periodic_path.cc
+++ b/src/balancer/periodic_path.cc
@@ -1,4 +1,4 @@
-#include "balancer_state.h"
+#include "balancer/balancer_state.h"
 #include "rosemarydrum/rendezvous.h"
 
 /// What is due as time passes: leases, heartbeats, copies of bindings.
--- a/src/config_check.cc
+++ b/src/configuration/config_check.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <map>
 
-#include "field_reader.h"
-#include "rosemarydrum/config_codec.h"
+#include "configuration/field_reader.h"
+#include "rosemarydrum/configuration/config_codec.h"
 
 namespace rosemarydrum {
 namespace {
@@ -111,8 +111,7 @@
 
 }  // namespace
 
-std::vector<config_problem> check_documents(
-    std::span<const document> documents) {
+std::vector<field_error> check_documents(std::span<const document> documents) {
   problem_list problems;
   document_checker checker(problems);
   std::vector<std::pair<const std::string*, service>> services;
@@ -139,8 +138,8 @@
   return problems;
 }
 
-std::vector<config_problem> check_change(std::vector<document> documents,
-                                         const document& changed) {
+std::vector<field_error> check_change(std::vector<document> documents,
+                                      const document& changed) {
   auto own = decode_document(changed.key, changed.text);
   if (auto* problems = std::get_if<problem_list>(&own)) {
     return std::move(*problems);
--- a/src/config_codec.cc
+++ b/src/configuration/config_codec.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/config_codec.h"
+#include "rosemarydrum/configuration/config_codec.h"
 
 #include <algorithm>
 #include <array>
@@ -6,8 +6,8 @@
 #include <boost/json/serialize.hpp>
 #include <set>
 
-#include "field_reader.h"
-#include "repeated_field.h"
+#include "configuration/field_reader.h"
+#include "configuration/repeated_field.h"
 
 namespace rosemarydrum {
 namespace {
@@ -162,7 +162,7 @@
           {"balancers", write_all(value.balancers, write_balancer)}};
 }
 
-decode_result one_problem(config_problem problem) {
+decode_result one_problem(field_error problem) {
   return problem_list{std::move(problem)};
 }
 
--- a/src/config_editor.cc
+++ b/src/configuration/config_editor.cc
@@ -1,9 +1,9 @@
-#include "rosemarydrum/config_editor.h"
+#include "rosemarydrum/configuration/config_editor.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "config_editor_state.h"
+#include "configuration/config_editor_state.h"
 
 namespace rosemarydrum {
 
--- a/src/config_editor_state.cc
+++ b/src/configuration/config_editor_state.cc
@@ -1,4 +1,4 @@
-#include "config_editor_state.h"
+#include "configuration/config_editor_state.h"
 
 #include <algorithm>
 #include <utility>
@@ -38,7 +38,7 @@
 
 void config_editor::state::finish(error_kind error, certainty result,
                                   revision changed,
-                                  std::vector<config_problem> problems) {
+                                  std::vector<field_error> problems) {
   now_doing = edit_step::idle;
   waiting_for_answer = false;
   const auto report = std::exchange(done, {});
@@ -73,7 +73,7 @@
     base_operations = std::move(valid->operations);
   } else if (base.text.empty()) {
     finish(error_kind::bad_document, certainty::not_run, {},
-           std::get<std::vector<config_problem>>(std::move(decoded_base)));
+           std::get<std::vector<field_error>>(std::move(decoded_base)));
     return;
   }
   // A document that does not decode counts as absent and may be replaced.
--- a/src/config_editor_state.h
+++ b/src/configuration/config_editor_state.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
-#include "document_set.h"
-#include "rosemarydrum/config_editor.h"
+#include "configuration/document_set.h"
+#include "rosemarydrum/configuration/config_editor.h"
 
 namespace rosemarydrum {
 
@@ -66,7 +66,7 @@
   void modify();
   void judge(const document& found);
   void finish(error_kind error, certainty outcome, revision changed = {},
-              std::vector<config_problem> problems = {});
+              std::vector<field_error> problems = {});
   certainty outcome() const {
     return uncertain_writes > 0 ? certainty::unknown : certainty::not_run;
   }
--- a/src/config_sync.cc
+++ b/src/configuration/config_sync.cc
@@ -1,8 +1,8 @@
-#include "rosemarydrum/config_sync.h"
+#include "rosemarydrum/configuration/config_sync.h"
 
 #include <algorithm>
 
-#include "config_sync_state.h"
+#include "configuration/config_sync_state.h"
 
 namespace rosemarydrum {
 namespace {
--- a/src/config_sync_state.cc
+++ b/src/configuration/config_sync_state.cc
@@ -1,4 +1,4 @@
-#include "config_sync_state.h"
+#include "configuration/config_sync_state.h"
 
 #include <algorithm>
 #include <iterator>
--- a/src/config_sync_state.h
+++ b/src/configuration/config_sync_state.h
@@ -5,9 +5,9 @@
 #include <span>
 #include <vector>
 
-#include "document_set.h"
-#include "rosemarydrum/config_sync.h"
-#include "rosemarydrum/membership.h"
+#include "configuration/document_set.h"
+#include "rosemarydrum/configuration/config_sync.h"
+#include "rosemarydrum/membership/membership.h"
 
 namespace rosemarydrum {
 
--- a/src/configuration.cc
+++ b/src/configuration/configuration.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/configuration/configuration.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/document_set.cc
+++ b/src/configuration/document_set.cc
@@ -1,4 +1,4 @@
-#include "document_set.h"
+#include "configuration/document_set.h"
 
 namespace rosemarydrum::detail {
 namespace {
--- a/src/document_set.h
+++ b/src/configuration/document_set.h
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "rosemarydrum/config_codec.h"
+#include "rosemarydrum/configuration/config_codec.h"
 
 namespace rosemarydrum::detail {
 
--- a/src/field_reader.cc
+++ b/src/configuration/field_reader.cc
@@ -1,4 +1,4 @@
-#include "field_reader.h"
+#include "configuration/field_reader.h"
 
 #include <algorithm>
 #include <boost/json/serialize.hpp>
@@ -40,7 +40,7 @@
 
 }  // namespace
 
-void add_problem(problem_list& problems, config_problem problem) {
+void add_problem(problem_list& problems, field_error problem) {
   if (problems.size() < max_problems) {
     problems.push_back(std::move(problem));
   }
--- a/src/field_reader.h
+++ b/src/configuration/field_reader.h
@@ -9,14 +9,14 @@
 #include <string_view>
 #include <vector>
 
-#include "rosemarydrum/config_codec.h"
+#include "rosemarydrum/configuration/config_codec.h"
 
 namespace rosemarydrum::detail {
 
-using problem_list = std::vector<config_problem>;
+using problem_list = std::vector<field_error>;
 
 /// Appends unless there are `max_problems` already.
-void add_problem(problem_list& problems, config_problem problem);
+void add_problem(problem_list& problems, field_error problem);
 
 /// Reads the fields of one JSON object and reports each wrong one.
 class field_reader {
--- a/src/questionnaire.cc
+++ b/src/configuration/questionnaire.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/questionnaire.h"
+#include "rosemarydrum/configuration/questionnaire.h"
 
 #include <xxhash.h>
 
--- a/src/questionnaire_codec.cc
+++ b/src/configuration/questionnaire_codec.cc
@@ -2,8 +2,8 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "field_reader.h"
-#include "rosemarydrum/questionnaire.h"
+#include "configuration/field_reader.h"
+#include "rosemarydrum/configuration/questionnaire.h"
 
 namespace rosemarydrum {
 namespace {
@@ -55,7 +55,7 @@
 )";
 }
 
-std::variant<decoded_questionnaire, std::vector<config_problem>>
+std::variant<decoded_questionnaire, std::vector<field_error>>
 decode_questionnaire(std::string_view text) {
   if (text.size() > max_questionnaire_bytes) {
     return problem_list{
--- a/src/repeated_field.cc
+++ b/src/configuration/repeated_field.cc
@@ -1,4 +1,4 @@
-#include "repeated_field.h"
+#include "configuration/repeated_field.h"
 
 #include <boost/json/basic_parser_impl.hpp>
 #include <set>
--- a/src/event_budget.cc
+++ b/src/events/event_budget.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/event_budget.h"
+#include "rosemarydrum/events/event_budget.h"
 
 #include <utility>
 
--- a/src/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "rosemarydrum/event_log.h"
+#include "rosemarydrum/events/event_log.h"
 
 namespace rosemarydrum {
 namespace {
@@ -195,7 +195,8 @@
      "flow route cause unanswered upstream in_flight candidates attempts "
      "waited_us configuration revision age_ms"},
     {flow_refused, "flow_refused", warning,
-     "A reset was sent to the caller: the request has not run here. `reason` is "
+     "A reset was sent to the caller: the request has not run here. `reason` "
+     "is "
      "no_upstream (none can take it) or no_route.",
      "flow route reason service listed draining cold silent out configuration "
      "revision age_ms"},
--- a/src/event_log.cc
+++ b/src/events/event_log.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/event_log.h"
+#include "rosemarydrum/events/event_log.h"
 
 #include <algorithm>
 #include <utility>
@@ -16,9 +16,8 @@
     : process_(process), capacity_(std::max<std::size_t>(capacity, 1)) {}
 
 std::optional<event_record> event_log::add(event_record event, time_point now) {
-  const auto left_out =
-      budgets_.try_emplace(event.id, max_events_per_second)
-          .first->second.take(now);
+  const auto left_out = budgets_.try_emplace(event.id, max_events_per_second)
+                            .first->second.take(now);
   if (!left_out) {
     return std::nullopt;
   }
--- a/src/event_merge.cc
+++ b/src/events/event_merge.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <tuple>
 
-#include "rosemarydrum/event_log.h"
+#include "rosemarydrum/events/event_log.h"
 
 namespace rosemarydrum {
 namespace {
--- a/src/copied_flows.cc
+++ b/src/flows/copied_flows.cc
@@ -1,4 +1,4 @@
-#include "copied_flows.h"
+#include "flows/copied_flows.h"
 
 namespace rosemarydrum::detail {
 
--- a/src/copied_flows.h
+++ b/src/flows/copied_flows.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <optional>
 
-#include "flow_bindings.h"
+#include "flows/flow_bindings.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum::detail {
--- a/src/flow_bindings.cc
+++ b/src/flows/flow_bindings.cc
@@ -1,4 +1,4 @@
-#include "flow_bindings.h"
+#include "flows/flow_bindings.h"
 
 namespace rosemarydrum::detail {
 
--- a/src/flow_bindings.h
+++ b/src/flows/flow_bindings.h
@@ -5,7 +5,7 @@
 #include <cstdint>
 #include <optional>
 
-#include "flow_groups.h"
+#include "flows/flow_groups.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum::detail {
--- a/src/flow_groups.cc
+++ b/src/flows/flow_groups.cc
@@ -1,4 +1,4 @@
-#include "flow_groups.h"
+#include "flows/flow_groups.h"
 
 namespace rosemarydrum::detail {
 
--- a/src/flow_resolver.cc
+++ b/src/flows/flow_resolver.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/flow_resolver.h"
+#include "rosemarydrum/flows/flow_resolver.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/flow_table.cc
+++ b/src/flows/flow_table.cc
@@ -1,11 +1,11 @@
-#include "rosemarydrum/flow_table.h"
+#include "rosemarydrum/flows/flow_table.h"
 
 #include <algorithm>
 #include <map>
 
-#include "copied_flows.h"
-#include "flow_bindings.h"
-#include "rosemarydrum/configuration.h"
+#include "flows/copied_flows.h"
+#include "flows/flow_bindings.h"
+#include "rosemarydrum/configuration/configuration.h"
 
 namespace rosemarydrum {
 namespace {
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -69,11 +69,10 @@
                                          time_point now) {
   ability_.on_failed(now);
   const auto* found = routes_.find(packet.flow.service);
-  const auto* target =
-      found == nullptr
-          ? nullptr
-          : route_table::target_for(*found,
-                                    std::hash<flow_ends>{}(packet.flow));
+  const auto* target = found == nullptr
+                           ? nullptr
+                           : route_table::target_for(
+                                 *found, std::hash<flow_ends>{}(packet.flow));
   if (target != nullptr &&
       placement_.census(target->service, now).unreachable > 0) {
     return discard(packet, fate_reason::unreachable, now);
@@ -238,11 +237,10 @@
 packet_verdict forwarder::refuse(const flow_packet& packet, fate_reason reason,
                                  time_point now) {
   const auto* found = routes_.find(packet.flow.service);
-  const auto* target =
-      found == nullptr
-          ? nullptr
-          : route_table::target_for(*found,
-                                    std::hash<flow_ends>{}(packet.flow));
+  const auto* target = found == nullptr
+                           ? nullptr
+                           : route_table::target_for(
+                                 *found, std::hash<flow_ends>{}(packet.flow));
   const auto service = target == nullptr ? std::string() : target->service;
   observer_.on_refused(packet, reason, found == nullptr ? "" : found->name,
                        service, placement_.census(service, now), now);
--- a/src/forwarding/handshake_health.cc
+++ b/src/forwarding/handshake_health.cc
@@ -23,9 +23,8 @@
     avoidance *= 2;
   }
   ++unanswered_;
-  avoided_until_ =
-      std::max(avoided_until_,
-               now + std::min<duration>(avoidance, longest_avoidance));
+  avoided_until_ = std::max(
+      avoided_until_, now + std::min<duration>(avoidance, longest_avoidance));
   return !was_silent && is_silent();
 }
 
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -73,8 +73,7 @@
 }
 
 double placement::score(const known_upstream& known, const load& loaded,
-                        const flow_time_estimate& usual,
-                        time_point now) const {
+                        const flow_time_estimate& usual, time_point now) const {
   const bool is_remote = known.record.data_centre != settings_.data_centre;
   const double flows = loaded.in_flight + (is_remote ? remote_surcharge : 0.0);
   const double slowness = loaded.flow_time.slowness(usual, now);
@@ -98,8 +97,8 @@
     auto& loaded = of(index);
     const bool is_cold = known.cold_until > now || loaded.spared_until > now;
     const bool is_silent = loaded.health.is_silent();
-    if ((is_cold || is_silent) && !has_cold_share(service, known.record.key,
-                                                  loaded, is_cold, now)) {
+    if ((is_cold || is_silent) &&
+        !has_cold_share(service, known.record.key, loaded, is_cold, now)) {
       continue;
     }
     const placed offer{index,
--- a/src/forwarding/upstream_directory.cc
+++ b/src/forwarding/upstream_directory.cc
@@ -56,8 +56,7 @@
 
 std::optional<upstream_index> upstream_directory::find(upstream_key key) const {
   const auto found = by_key_.find(value_of(key));
-  return found == by_key_.end() ? std::nullopt
-                                : std::optional(found->second);
+  return found == by_key_.end() ? std::nullopt : std::optional(found->second);
 }
 
 std::optional<upstream_index> upstream_directory::find(upstream_tag tag) const {
--- a/src/lease_duty.cc
+++ b/src/membership/lease_duty.cc
@@ -1,4 +1,4 @@
-#include "lease_duty.h"
+#include "membership/lease_duty.h"
 
 #include <algorithm>
 
--- a/src/lease_duty.h
+++ b/src/membership/lease_duty.h
@@ -5,10 +5,10 @@
 #include <optional>
 #include <vector>
 
-#include "rosemarydrum/action.h"
-#include "rosemarydrum/membership.h"
-#include "rosemarydrum/shard_lease.h"
-#include "rosemarydrum/slot_table.h"
+#include "rosemarydrum/balancer/action.h"
+#include "rosemarydrum/membership/membership.h"
+#include "rosemarydrum/membership/shard_lease.h"
+#include "rosemarydrum/slots/slot_table.h"
 
 namespace rosemarydrum {
 
--- a/src/membership.cc
+++ b/src/membership/membership.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/membership.h"
+#include "rosemarydrum/membership/membership.h"
 
 #include <algorithm>
 
--- a/src/shard_authority.h
+++ b/src/membership/shard_authority.h
@@ -3,7 +3,7 @@
 #include <set>
 #include <span>
 
-#include "rosemarydrum/slot_table.h"
+#include "rosemarydrum/slots/slot_table.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum::detail {
--- a/src/shard_lease.cc
+++ b/src/membership/shard_lease.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/shard_lease.h"
+#include "rosemarydrum/membership/shard_lease.h"
 
 #include <algorithm>
 
--- a/src/active_request.h
+++ b/src/requests/active_request.h
@@ -4,8 +4,8 @@
 #include <list>
 #include <vector>
 
-#include "request_attempt.h"
-#include "rosemarydrum/request_owner.h"
+#include "requests/request_attempt.h"
+#include "rosemarydrum/requests/request_owner.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum::detail {
--- a/src/admission.cc
+++ b/src/requests/admission.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/admission.h"
+#include "rosemarydrum/requests/admission.h"
 
 #include <algorithm>
 
--- a/src/answer_assembly.cc
+++ b/src/requests/answer_assembly.cc
@@ -1,4 +1,4 @@
-#include "answer_assembly.h"
+#include "requests/answer_assembly.h"
 
 #include <utility>
 
--- a/src/answer_assembly.h
+++ b/src/requests/answer_assembly.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <vector>
 
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum::detail {
--- a/src/kept_requests.cc
+++ b/src/requests/kept_requests.cc
@@ -1,4 +1,4 @@
-#include "kept_requests.h"
+#include "requests/kept_requests.h"
 
 #include <numeric>
 #include <utility>
--- a/src/kept_requests.h
+++ b/src/requests/kept_requests.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "rosemarydrum/error_kind.h"
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum::detail {
--- a/src/packet.cc
+++ b/src/requests/packet.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 
 #include <boost/assert.hpp>
 #include <boost/endian/buffers.hpp>
--- a/src/refusal.h
+++ b/src/requests/refusal.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "rosemarydrum/action.h"
+#include "rosemarydrum/balancer/action.h"
 #include "rosemarydrum/error_kind.h"
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 
 namespace rosemarydrum {
 
--- a/src/reply_writer.cc
+++ b/src/requests/reply_writer.cc
@@ -1,4 +1,4 @@
-#include "reply_writer.h"
+#include "requests/reply_writer.h"
 
 #include <utility>
 
--- a/src/reply_writer.h
+++ b/src/requests/reply_writer.h
@@ -2,10 +2,10 @@
 
 #include <optional>
 
-#include "kept_requests.h"
-#include "rosemarydrum/action.h"
-#include "rosemarydrum/request_owner.h"
-#include "rosemarydrum/token.h"
+#include "requests/kept_requests.h"
+#include "rosemarydrum/balancer/action.h"
+#include "rosemarydrum/requests/request_owner.h"
+#include "rosemarydrum/requests/token.h"
 
 namespace rosemarydrum::detail {
 
--- a/src/request_attempt.h
+++ b/src/requests/request_attempt.h
@@ -3,7 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 
-#include "answer_assembly.h"
+#include "requests/answer_assembly.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum::detail {
--- a/src/request_forwarder.cc
+++ b/src/requests/request_forwarder.cc
@@ -1,6 +1,6 @@
-#include "request_forwarder.h"
+#include "requests/request_forwarder.h"
 
-#include "refusal.h"
+#include "requests/refusal.h"
 
 namespace rosemarydrum {
 
--- a/src/request_forwarder.h
+++ b/src/requests/request_forwarder.h
@@ -2,8 +2,8 @@
 
 #include <map>
 
-#include "rosemarydrum/action.h"
-#include "rosemarydrum/token.h"
+#include "rosemarydrum/balancer/action.h"
+#include "rosemarydrum/requests/token.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/src/request_owner.cc
+++ b/src/requests/request_owner.cc
@@ -1,9 +1,9 @@
-#include "rosemarydrum/request_owner.h"
+#include "rosemarydrum/requests/request_owner.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "request_owner_state.h"
+#include "requests/request_owner_state.h"
 #include "rosemarydrum/runtime_clock.h"
 
 namespace rosemarydrum {
--- a/src/request_owner_attempts.cc
+++ b/src/requests/request_owner_attempts.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "request_owner_state.h"
+#include "requests/request_owner_state.h"
 
 namespace rosemarydrum {
 
--- a/src/request_owner_state.h
+++ b/src/requests/request_owner_state.h
@@ -7,12 +7,12 @@
 #include <unordered_set>
 #include <vector>
 
-#include "active_request.h"
-#include "grant_memory.h"
-#include "kept_requests.h"
-#include "reply_writer.h"
-#include "rosemarydrum/request_owner.h"
-#include "service_history.h"
+#include "requests/active_request.h"
+#include "requests/kept_requests.h"
+#include "requests/reply_writer.h"
+#include "rosemarydrum/requests/request_owner.h"
+#include "slots/grant_memory.h"
+#include "slots/service_history.h"
 
 namespace rosemarydrum {
 
--- a/src/request_owner_timers.cc
+++ b/src/requests/request_owner_timers.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "request_owner_state.h"
+#include "requests/request_owner_state.h"
 
 namespace rosemarydrum {
 
--- a/src/request_witness.cc
+++ b/src/requests/request_witness.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/request_witness.h"
+#include "rosemarydrum/requests/request_witness.h"
 
 #include "rosemarydrum/runtime_clock.h"
 
--- a/src/token.cc
+++ b/src/requests/token.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/token.h"
+#include "rosemarydrum/requests/token.h"
 
 #include <boost/endian/buffers.hpp>
 #include <cstring>
--- a/src/settings.cc
+++ b/src/settings/settings.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/settings.h"
+#include "rosemarydrum/settings/settings.h"
 
 #include <boost/program_options.hpp>
 #include <map>
@@ -6,7 +6,7 @@
 
 #include "rosemarydrum/address_text.h"
 #include "rosemarydrum/number_text.h"
-#include "settings_check.h"
+#include "settings/settings_check.h"
 
 namespace rosemarydrum {
 namespace {
@@ -15,8 +15,8 @@
 using values = std::vector<std::string>;
 
 bool is_used_by(const setting_description& setting, program which) {
-  return setting.used_by == which || (setting.used_by == program::both &&
-                                      which != program::forwarder);
+  return setting.used_by == which ||
+         (setting.used_by == program::both && which != program::forwarder);
 }
 
 values split(const std::string& list) {
@@ -111,8 +111,7 @@
   result.flow_lifetime = seconds(raw.number<std::int64_t>("flow-lifetime-s"));
   result.configuration_bound =
       milliseconds(raw.number<std::int64_t>("configuration-bound-ms"));
-  result.drain_bound =
-      milliseconds(raw.number<std::int64_t>("drain-bound-ms"));
+  result.drain_bound = milliseconds(raw.number<std::int64_t>("drain-bound-ms"));
   result.data_centre_bound =
       milliseconds(raw.number<std::int64_t>("data-centre-bound-ms"));
   result.stop_grace = seconds(raw.number<std::int64_t>("stop-grace-s"));
@@ -264,19 +263,19 @@
   std::istringstream stream(text);
   for (std::string line; std::getline(stream, line);) {
     bool has_value = false;
-    for (auto begin = line.find(placeholder_begin);
-         begin != std::string::npos; begin = line.find(placeholder_begin)) {
+    for (auto begin = line.find(placeholder_begin); begin != std::string::npos;
+         begin = line.find(placeholder_begin)) {
       const auto end = line.find(placeholder_end, begin);
       if (end == std::string::npos) {
         break;
       }
       const auto kind = line[begin + placeholder_begin.size()];
-      has_value = has_value || (kind != '#' && kind != '/' && kind != '^' &&
-                                kind != ',');
+      has_value = has_value ||
+                  (kind != '#' && kind != '/' && kind != '^' && kind != ',');
       line.erase(begin, end + placeholder_end.size() - begin);
     }
-    if (const auto equals = line.find('='); has_value &&
-                                            equals != std::string::npos) {
+    if (const auto equals = line.find('=');
+        has_value && equals != std::string::npos) {
       line = line.substr(0, equals + 1) + std::string(filled_in_later);
     }
     result += line + "\n";
--- a/src/settings_check.cc
+++ b/src/settings/settings_check.cc
@@ -1,4 +1,4 @@
-#include "settings_check.h"
+#include "settings/settings_check.h"
 
 #include <sstream>
 
--- a/src/settings_table.cc
+++ b/src/settings/settings_table.cc
@@ -1,5 +1,5 @@
 #include "rosemarydrum/number_text.h"
-#include "rosemarydrum/settings.h"
+#include "rosemarydrum/settings/settings.h"
 
 namespace rosemarydrum {
 namespace {
--- a/src/ask_history.cc
+++ b/src/slots/ask_history.cc
@@ -1,4 +1,4 @@
-#include "ask_history.h"
+#include "slots/ask_history.h"
 
 namespace rosemarydrum::detail {
 
--- a/src/ask_history.h
+++ b/src/slots/ask_history.h
@@ -6,7 +6,7 @@
 
 #include "rosemarydrum/error_kind.h"
 #include "rosemarydrum/types.h"
-#include "wait_queue.h"
+#include "slots/wait_queue.h"
 
 namespace rosemarydrum::detail {
 
--- a/src/ask_registry.cc
+++ b/src/slots/ask_registry.cc
@@ -1,4 +1,4 @@
-#include "ask_registry.h"
+#include "slots/ask_registry.h"
 
 namespace rosemarydrum {
 namespace {
--- a/src/ask_registry.h
+++ b/src/slots/ask_registry.h
@@ -2,7 +2,7 @@
 
 #include <unordered_map>
 
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
--- a/src/grant_ledger.cc
+++ b/src/slots/grant_ledger.cc
@@ -1,4 +1,4 @@
-#include "grant_ledger.h"
+#include "slots/grant_ledger.h"
 
 #include <algorithm>
 
--- a/src/grant_ledger.h
+++ b/src/slots/grant_ledger.h
@@ -7,9 +7,9 @@
 #include <utility>
 #include <vector>
 
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
 #include "rosemarydrum/types.h"
-#include "wait_queue.h"
+#include "slots/wait_queue.h"
 
 namespace rosemarydrum::detail {
 
--- a/src/service_slots.cc
+++ b/src/slots/service_slots.cc
@@ -1,4 +1,4 @@
-#include "service_slots.h"
+#include "slots/service_slots.h"
 
 #include <algorithm>
 
--- a/src/service_slots.h
+++ b/src/slots/service_slots.h
@@ -5,11 +5,11 @@
 #include <span>
 #include <vector>
 
-#include "rosemarydrum/action.h"
-#include "rosemarydrum/configuration.h"
-#include "shard_authority.h"
-#include "upstream_slots.h"
-#include "wait_queue.h"
+#include "membership/shard_authority.h"
+#include "rosemarydrum/balancer/action.h"
+#include "rosemarydrum/configuration/configuration.h"
+#include "slots/upstream_slots.h"
+#include "slots/wait_queue.h"
 
 namespace rosemarydrum::detail {
 
--- a/src/slot_table.cc
+++ b/src/slots/slot_table.cc
@@ -1,9 +1,9 @@
-#include "rosemarydrum/slot_table.h"
+#include "rosemarydrum/slots/slot_table.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "slot_table_state.h"
+#include "slots/slot_table_state.h"
 
 namespace rosemarydrum {
 
--- a/src/slot_table_peers.cc
+++ b/src/slots/slot_table_peers.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "slot_table_state.h"
+#include "slots/slot_table_state.h"
 
 /// What deciders tell each other: running grants and limits.
 namespace rosemarydrum {
--- a/src/slot_table_queue.cc
+++ b/src/slots/slot_table_queue.cc
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <iterator>
 
-#include "slot_table_state.h"
+#include "slots/slot_table_state.h"
 
 namespace rosemarydrum {
 
--- a/src/slot_table_state.cc
+++ b/src/slots/slot_table_state.cc
@@ -1,4 +1,4 @@
-#include "slot_table_state.h"
+#include "slots/slot_table_state.h"
 
 #include <algorithm>
 
--- a/src/slot_table_state.h
+++ b/src/slots/slot_table_state.h
@@ -6,12 +6,12 @@
 #include <span>
 #include <vector>
 
-#include "ask_history.h"
-#include "grant_ledger.h"
-#include "rosemarydrum/membership.h"
-#include "rosemarydrum/slot_table.h"
-#include "service_slots.h"
-#include "shard_authority.h"
+#include "membership/shard_authority.h"
+#include "rosemarydrum/membership/membership.h"
+#include "rosemarydrum/slots/slot_table.h"
+#include "slots/ask_history.h"
+#include "slots/grant_ledger.h"
+#include "slots/service_slots.h"
 
 namespace rosemarydrum {
 
--- a/src/upstream_health.cc
+++ b/src/slots/upstream_health.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/upstream_health.h"
+#include "rosemarydrum/slots/upstream_health.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/upstream_slots.h
+++ b/src/slots/upstream_slots.h
@@ -4,8 +4,8 @@
 #include <cmath>
 #include <cstdint>
 
-#include "rosemarydrum/configuration.h"
-#include "rosemarydrum/upstream_health.h"
+#include "rosemarydrum/configuration/configuration.h"
+#include "rosemarydrum/slots/upstream_health.h"
 
 namespace rosemarydrum::detail {
 
--- a/src/wait_queue.h
+++ b/src/slots/wait_queue.h
@@ -3,7 +3,7 @@
 #include <cstddef>
 #include <map>
 
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum::detail {
--- a/src/spread/member_codec.cc
+++ b/src/spread/member_codec.cc
@@ -50,10 +50,9 @@
   if (!at) {
     return std::nullopt;
   }
-  return member_record{
-      std::string(key.substr(members_prefix.size())),
-      std::string(centre->as_string()), *at,
-      static_cast<std::uint32_t>(capacity->as_int64())};
+  return member_record{std::string(key.substr(members_prefix.size())),
+                       std::string(centre->as_string()), *at,
+                       static_cast<std::uint32_t>(capacity->as_int64())};
 }
 
 }  // namespace rosemarydrum
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -177,8 +177,8 @@
   bulletin told;
   told.reading = store_answers_ && !leaving_ && should_read(now);
   told.leaving = leaving_;
-  told.age = std::chrono::duration_cast<milliseconds>(
-      now - replica_.confirmed_at());
+  told.age =
+      std::chrono::duration_cast<milliseconds>(now - replica_.confirmed_at());
   const auto at = listing.at;
   told.listing = std::move(listing);
   return {settings_.self.name, settings_.run, at, std::move(told), 0};
@@ -327,9 +327,8 @@
   }
   // Half of the questions go to other data centres, in case that the own one
   // is cut off from the store.
-  const auto& from = near.empty() || (!far.empty() && random_() % 2 == 0)
-                         ? far
-                         : near;
+  const auto& from =
+      near.empty() || (!far.empty() && random_() % 2 == 0) ? far : near;
   return from.empty() ? std::nullopt
                       : std::optional(*from[random_() % from.size()]);
 }
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -19,8 +19,8 @@
 
 void write(const kv_item& item, wire::StoreItem::Builder to) {
   to.setKey(item.key);
-  to.setValue(kj::arrayPtr(
-      reinterpret_cast<const kj::byte*>(item.value.data()), item.value.size()));
+  to.setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(item.value.data()),
+                           item.value.size()));
   to.setChanged(value_of(item.changed));
   to.setRemoved(item.removed);
   to.setOmitted(item.omitted);
@@ -43,8 +43,7 @@
   to.setComplete(told.listing.complete);
   to.setAfter(value_of(told.listing.after));
   to.setAgeMs(static_cast<std::uint32_t>(told.age.count()));
-  auto items =
-      to.initItems(static_cast<unsigned>(told.listing.items.size()));
+  auto items = to.initItems(static_cast<unsigned>(told.listing.items.size()));
   for (unsigned i = 0; i < items.size(); ++i) {
     write(told.listing.items[i], items[i]);
   }
--- a/src/store/item_replica.cc
+++ b/src/store/item_replica.cc
@@ -55,8 +55,7 @@
   for (auto& [key, known] : items_) {
     const bool is_present =
         !known.item.removed && known.item.changed != revision{};
-    if (is_present && known.item.changed <= shown.at &&
-        !listed.contains(key)) {
+    if (is_present && known.item.changed <= shown.at && !listed.contains(key)) {
       known.item = {key, {}, shown.at, true, false, {}};
       known.removed_at = now;
       fresh.push_back(known.item);
--- a/src/store/value_reader.cc
+++ b/src/store/value_reader.cc
@@ -42,8 +42,7 @@
   void on_read(revision least, const kv_read& read) {
     busy = false;
     const auto now = runtime_clock::now();
-    const bool is_new = read.error == error_kind::none &&
-                        !read.items.empty() &&
+    const bool is_new = read.error == error_kind::none && !read.items.empty() &&
                         read.items.front().changed >= least;
     if (is_new) {
       failures = 0;
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE admission
-#include "rosemarydrum/admission.h"
+#include "rosemarydrum/requests/admission.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/test/command-test.cc
+++ b/test/command-test.cc
@@ -3,7 +3,7 @@
 
 #include "command/operation_id.h"
 #include "command_fixture.h"
-#include "rosemarydrum/questionnaire.h"
+#include "rosemarydrum/configuration/questionnaire.h"
 
 namespace rosemarydrum {
 namespace {
--- a/test/config_cluster.h
+++ b/test/config_cluster.h
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <random>
 
-#include "rosemarydrum/config_codec.h"
-#include "rosemarydrum/config_sync.h"
+#include "rosemarydrum/configuration/config_codec.h"
+#include "rosemarydrum/configuration/config_sync.h"
 
 /// Balancers that share one store's history over a lossy network.
 namespace rosemarydrum::test {
--- a/test/config_codec-test.cc
+++ b/test/config_codec-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE config_codec
-#include "rosemarydrum/config_codec.h"
+#include "rosemarydrum/configuration/config_codec.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -8,7 +8,7 @@
 namespace rosemarydrum {
 namespace {
 
-using problems = std::vector<config_problem>;
+using problems = std::vector<field_error>;
 
 constexpr std::string_view good_service = R"({"id":7,"owner":"ledger",
   "address":"10.0.0.1:9000","approvals":[{"caller":3,"team":"keepers",
--- a/test/config_editor-test.cc
+++ b/test/config_editor-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE config_editor
-#include "rosemarydrum/config_editor.h"
+#include "rosemarydrum/configuration/config_editor.h"
 
 #include <rapidcheck.h>
 
--- a/test/config_generators.h
+++ b/test/config_generators.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "fixed_seed.h"
-#include "rosemarydrum/config_codec.h"
+#include "rosemarydrum/configuration/config_codec.h"
 
 /// Random valid documents.
 namespace rosemarydrum::test {
--- a/test/config_sync-test.cc
+++ b/test/config_sync-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE config_sync
-#include "rosemarydrum/config_sync.h"
+#include "rosemarydrum/configuration/config_sync.h"
 
 #include <rapidcheck.h>
 
--- a/test/configuration-test.cc
+++ b/test/configuration-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE configuration
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/configuration/configuration.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/test/deployment.h
+++ b/test/deployment.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "child_process.h"
-#include "io/addresses.h"
 #include "daemon/http_config_store.h"
-#include "rosemarydrum/config_codec.h"
+#include "io/addresses.h"
+#include "rosemarydrum/configuration/config_codec.h"
 
 namespace rosemarydrum {
 
--- a/test/docs-test.cc
+++ b/test/docs-test.cc
@@ -4,7 +4,7 @@
 #include <iterator>
 #include <string>
 
-#include "rosemarydrum/reference_pages.h"
+#include "rosemarydrum/events/reference_pages.h"
 
 namespace rosemarydrum {
 namespace {
--- a/test/flow_resolver-test.cc
+++ b/test/flow_resolver-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE flow_resolver
-#include "rosemarydrum/flow_resolver.h"
+#include "rosemarydrum/flows/flow_resolver.h"
 
 #include <boost/test/unit_test.hpp>
 #include <vector>
--- a/test/flow_table-test.cc
+++ b/test/flow_table-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE flow_table
-#include "rosemarydrum/flow_table.h"
+#include "rosemarydrum/flows/flow_table.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
@@ -8,7 +8,7 @@
 #include <map>
 
 #include "fixed_seed.h"
-#include "rosemarydrum/configuration.h"
+#include "rosemarydrum/configuration/configuration.h"
 
 namespace rosemarydrum {
 namespace {
--- a/test/http_config_store-test.cc
+++ b/test/http_config_store-test.cc
@@ -3,8 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "rosemarydrum/config_codec.h"
-#include "rosemarydrum/config_editor.h"
+#include "rosemarydrum/configuration/config_codec.h"
+#include "rosemarydrum/configuration/config_editor.h"
 #include "standins/store_server.h"
 
 namespace rosemarydrum {
--- a/test/lease_cell.h
+++ b/test/lease_cell.h
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "rosemarydrum/shard_lease.h"
+#include "rosemarydrum/membership/shard_lease.h"
 
 namespace rosemarydrum {
 
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE membership
-#include "rosemarydrum/membership.h"
+#include "rosemarydrum/membership/membership.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
--- a/test/memory_store.h
+++ b/test/memory_store.h
@@ -5,7 +5,7 @@
 #include <random>
 #include <utility>
 
-#include "rosemarydrum/config_store.h"
+#include "rosemarydrum/configuration/config_store.h"
 
 namespace rosemarydrum::test {
 
--- a/test/packet-test.cc
+++ b/test/packet-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE packet
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
--- a/test/peer_message-test.cc
+++ b/test/peer_message-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE peer_message
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
 
 #include <rapidcheck.h>
 
--- a/test/peer_rpc_thread-test.cc
+++ b/test/peer_rpc_thread-test.cc
@@ -9,8 +9,8 @@
 #include <functional>
 #include <thread>
 
-#include "io/addresses.h"
 #include "daemon/listeners.h"
+#include "io/addresses.h"
 #include "peer_rpc.capnp.h"
 
 namespace rosemarydrum {
--- a/test/questionnaire-test.cc
+++ b/test/questionnaire-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE questionnaire
-#include "rosemarydrum/questionnaire.h"
+#include "rosemarydrum/configuration/questionnaire.h"
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -60,17 +60,17 @@
   for (const auto& [field, value] : wrong) {
     const auto decoded = decode_questionnaire(with(field, value));
     BOOST_REQUIRE_MESSAGE(
-        std::holds_alternative<std::vector<config_problem>>(decoded), field);
-    const auto& problems = std::get<std::vector<config_problem>>(decoded);
+        std::holds_alternative<std::vector<field_error>>(decoded), field);
+    const auto& problems = std::get<std::vector<field_error>>(decoded);
     BOOST_REQUIRE_EQUAL(problems.size(), 1U);
     BOOST_CHECK_EQUAL(problems[0].key, field);
     BOOST_CHECK(!problems[0].value.empty());
     BOOST_CHECK(!problems[0].allowed.empty());
     BOOST_CHECK(!problems[0].fix.empty());
   }
-  BOOST_CHECK(std::holds_alternative<std::vector<config_problem>>(
+  BOOST_CHECK(std::holds_alternative<std::vector<field_error>>(
       decode_questionnaire("[1]")));
-  BOOST_CHECK(std::holds_alternative<std::vector<config_problem>>(
+  BOOST_CHECK(std::holds_alternative<std::vector<field_error>>(
       decode_questionnaire("")));
 }
 
--- a/test/request_owner-test.cc
+++ b/test/request_owner-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE request_owner
-#include "rosemarydrum/request_owner.h"
+#include "rosemarydrum/requests/request_owner.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
--- a/test/request_owner_fixture.h
+++ b/test/request_owner_fixture.h
@@ -2,7 +2,7 @@
 
 #include <vector>
 
-#include "rosemarydrum/request_owner.h"
+#include "rosemarydrum/requests/request_owner.h"
 #include "rosemarydrum/runtime_clock.h"
 
 namespace rosemarydrum {
--- a/test/request_witness-test.cc
+++ b/test/request_witness-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE request_witness
-#include "rosemarydrum/request_witness.h"
+#include "rosemarydrum/requests/request_witness.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
--- a/test/request_world.h
+++ b/test/request_world.h
@@ -9,8 +9,8 @@
 #include <utility>
 #include <vector>
 
-#include "rosemarydrum/request_owner.h"
-#include "rosemarydrum/request_witness.h"
+#include "rosemarydrum/requests/request_owner.h"
+#include "rosemarydrum/requests/request_witness.h"
 #include "rosemarydrum/runtime_clock.h"
 
 namespace rosemarydrum {
--- a/test/rpc_fleet_client-test.cc
+++ b/test/rpc_fleet_client-test.cc
@@ -13,7 +13,7 @@
 #include <thread>
 
 #include "peer_rpc.capnp.h"
-#include "rosemarydrum/peer_message.h"
+#include "rosemarydrum/balancer/peer_message.h"
 
 namespace rosemarydrum {
 namespace {
--- a/test/scenario/checker.h
+++ b/test/scenario/checker.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum::scenario {
--- a/test/scenario/fake_caller.h
+++ b/test/scenario/fake_caller.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "checker.h"
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 #include "simulation.h"
 
 namespace rosemarydrum::scenario {
--- a/test/scenario/world.cc
+++ b/test/scenario/world.cc
@@ -4,7 +4,7 @@
 #include <iostream>
 #include <variant>
 
-#include "rosemarydrum/event_log.h"
+#include "rosemarydrum/events/event_log.h"
 
 namespace rosemarydrum::scenario {
 namespace {
--- a/test/scenario/world.h
+++ b/test/scenario/world.h
@@ -10,8 +10,8 @@
 #include "checker.h"
 #include "fake_caller.h"
 #include "fake_upstream.h"
-#include "rosemarydrum/balancer.h"
-#include "rosemarydrum/config_codec.h"
+#include "rosemarydrum/balancer/balancer.h"
+#include "rosemarydrum/configuration/config_codec.h"
 #include "simulation.h"
 
 namespace rosemarydrum::scenario {
--- a/test/scenario/world_faults.cc
+++ b/test/scenario/world_faults.cc
@@ -1,4 +1,4 @@
-#include "rosemarydrum/config_codec.h"
+#include "rosemarydrum/configuration/config_codec.h"
 #include "world.h"
 
 /// What a scenario does to balancers, links, upstreams and the store.
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE settings
-#include "rosemarydrum/settings.h"
+#include "rosemarydrum/settings/settings.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
--- a/test/shard_lease-test.cc
+++ b/test/shard_lease-test.cc
@@ -1,15 +1,12 @@
 #define BOOST_TEST_MODULE shard_lease
-#include "rosemarydrum/shard_lease.h"
+#include "rosemarydrum/membership/shard_lease.h"
 
 #include <rapidcheck/boost_test.h>
 
 #include <boost/test/unit_test.hpp>
 
+#include "fixed_seed.h"
 #include "lease_cell.h"
-#include "property_seed.h"
-
-using fixed_seed = rosemarydrum::property_seed;
-BOOST_TEST_GLOBAL_FIXTURE(fixed_seed);
 
 namespace rosemarydrum {
 
--- a/test/slot_authority-test.cc
+++ b/test/slot_authority-test.cc
@@ -1,8 +1,8 @@
 #define BOOST_TEST_MODULE slot_authority
 #include <boost/test/unit_test.hpp>
 
-#include "rosemarydrum/membership.h"
-#include "rosemarydrum/slot_table.h"
+#include "rosemarydrum/membership/membership.h"
+#include "rosemarydrum/slots/slot_table.h"
 #include "slot_table_fixture.h"
 
 namespace rosemarydrum {
--- a/test/slot_cell.h
+++ b/test/slot_cell.h
@@ -9,7 +9,7 @@
 #include <set>
 #include <vector>
 
-#include "rosemarydrum/slot_table.h"
+#include "rosemarydrum/slots/slot_table.h"
 #include "slot_table_fixture.h"
 
 namespace rosemarydrum {
--- a/test/slot_table-test.cc
+++ b/test/slot_table-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE slot_table
-#include "rosemarydrum/slot_table.h"
+#include "rosemarydrum/slots/slot_table.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/test/slot_table_fixture.h
+++ b/test/slot_table_fixture.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "rosemarydrum/slot_table.h"
+#include "rosemarydrum/slots/slot_table.h"
 
 namespace rosemarydrum {
 
--- a/test/slot_table_property-test.cc
+++ b/test/slot_table_property-test.cc
@@ -3,12 +3,9 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "property_seed.h"
+#include "fixed_seed.h"
 #include "slot_cell.h"
 
-using fixed_seed = rosemarydrum::property_seed;
-BOOST_TEST_GLOBAL_FIXTURE(fixed_seed);
-
 namespace rosemarydrum {
 namespace {
 
--- a/test/standins/answer_payload.h
+++ b/test/standins/answer_payload.h
@@ -2,7 +2,7 @@
 
 #include <cstring>
 
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 
 namespace rosemarydrum::standin {
 
--- a/test/standins/datagram_socket.h
+++ b/test/standins/datagram_socket.h
@@ -5,7 +5,7 @@
 #include <functional>
 
 #include "io/addresses.h"
-#include "rosemarydrum/packet.h"
+#include "rosemarydrum/requests/packet.h"
 
 namespace rosemarydrum::standin {
 
--- a/test/standins/store_server.h
+++ b/test/standins/store_server.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "io/runtime_timer.h"
-#include "rosemarydrum/config_codec.h"
+#include "rosemarydrum/configuration/config_codec.h"
 #include "standins/http_session.h"
 #include "standins/http_target.h"
 #include "standins/store_control.h"
--- a/test/token-test.cc
+++ b/test/token-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE token
-#include "rosemarydrum/token.h"
+#include "rosemarydrum/requests/token.h"
 
 #include <rapidcheck.h>
 #include <rapidcheck/boost_test.h>
--- a/test/upstream_health-test.cc
+++ b/test/upstream_health-test.cc
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE upstream_health
-#include "rosemarydrum/upstream_health.h"
+#include "rosemarydrum/slots/upstream_health.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
