Move what the control thread decides into a component without I/O

Cause: the glue between store, spread and forwarder stood in the thread's loop and could not be tested without sockets. The deploy build does not treat warnings as errors: GCC 12 reports a false -Wrestrict at -O3.

--- a/apps/forwarder/data_loop.cc
+++ b/apps/forwarder/data_loop.cc
@@ -48,25 +48,15 @@
 }
 
 void data_loop::take_update(control_update&& update) {
-  const auto now = runtime_clock::now();
-  for (const auto& change : update.changes) {
-    core_.on_change(change, now);
-  }
-  core_.set_confirmed(update.confirmed_at);
-  if (update.members) {
-    core_.set_members(std::move(*update.members));
-  }
-  if (update.reconnected) {
-    core_.on_reconnected();
-  }
+  core_.on_update(update.fleet, runtime_clock::now());
   if (update.log_flows) {
     log_.set_limit(event_id::flow_opened, *update.log_flows);
   }
   if (update.log_severity) {
     log_.set_severity(*update.log_severity);
   }
-  journal_.set_belief(
-      {core_.routes().version(), update.known, update.confirmed_at});
+  journal_.set_belief({core_.routes().version(), update.fleet.known,
+                       update.fleet.confirmed_at});
 }
 
 void data_loop::wait_readable() {
--- a/apps/forwarder/forwarder_metrics.h
+++ b/apps/forwarder/forwarder_metrics.h
@@ -51,6 +51,7 @@
   std::uint64_t messages_sent = 0;
   std::uint64_t messages_received = 0;
   std::uint64_t messages_malformed = 0;
+  std::uint64_t sends_failed = 0;
   std::uint64_t log_lines_dropped = 0;
 };
 
--- a/apps/forwarder/forwarder_rings.h
+++ b/apps/forwarder/forwarder_rings.h
@@ -1,27 +1,17 @@
 #pragma once
 
 #include <optional>
-#include <string>
-#include <vector>
 
 #include "forwarder/forwarder_metrics.h"
 #include "io/bounded_ring.h"
 #include "log/event_logger.h"
-#include "rosemarydrum/forwarding/fleet_change.h"
+#include "rosemarydrum/forwarding/fleet_update.h"
 
 namespace rosemarydrum {
 
-/// What the control thread has learnt.
+/// What the control thread tells the data thread.
 struct control_update {
-  std::vector<fleet_change> changes;
-  /// Names of all members, if they have changed.
-  std::optional<std::vector<std::string>> members;
-  /// What is known was out of date for a while and no longer is.
-  bool reconnected = false;
-  /// All changes up to this revision are known; the store held nothing newer
-  /// at `confirmed_at`.
-  revision known{};
-  time_point confirmed_at;
+  fleet_update fleet;
   /// New limit for lines about served flows.
   std::optional<std::uint32_t> log_flows;
   std::optional<event_severity> log_severity;
--- a/apps/forwarder/metrics_text.cc
+++ b/apps/forwarder/metrics_text.cc
@@ -17,6 +17,7 @@
   page.counter("peer_messages_sent", control.messages_sent);
   page.counter("peer_messages_received", control.messages_received);
   page.counter("peer_messages_malformed", control.messages_malformed);
+  page.counter("peer_sends_failed", control.sends_failed);
   page.counter("log_lines_dropped", control.log_lines_dropped);
 }
 
--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "rosemarydrum/forwarding/fleet_change.h"
+#include "rosemarydrum/forwarding/fleet_update.h"
 #include "rosemarydrum/forwarding/flow_codec.h"
 #include "rosemarydrum/forwarding/flow_packet.h"
 #include "rosemarydrum/forwarding/forwarder_observer.h"
@@ -49,13 +49,8 @@
   /// Opening packets that have not been answered in time.
   std::vector<repeated_opening> repeat_openings(time_point now);
 
-  /// Changes of what the store holds; older ones than known are ignored.
-  void on_change(const fleet_change& change, time_point now);
-  /// What the changes told of was up to date at this time.
-  void set_confirmed(time_point confirmed);
-  void set_members(std::vector<std::string> names);
-  /// What is known was out of date for a while and no longer is.
-  void on_reconnected();
+  /// What is known of the fleet has changed; older changes are ignored.
+  void on_update(const fleet_update& news, time_point now);
   /// The process has not run for a while; answers may have been lost.
   void on_stall();
   /// Forgets flows and upstreams whose time has passed.
@@ -92,6 +87,7 @@
   packet_verdict discard(const flow_packet& packet, fate_reason reason,
                          time_point now);
   const fleet_service& service_of(upstream_index upstream) const;
+  void on_change(const fleet_change& change, time_point now);
   void on_data_centre(const data_centre_change& change, revision changed,
                       time_point now);
 
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -271,6 +271,22 @@
   return routes_.service(directory_.at(upstream).record.service);
 }
 
+void forwarder::on_update(const fleet_update& news, time_point now) {
+  placement_.set_confirmed(news.confirmed_at);
+  ability_.set_confirmed(news.confirmed_at);
+  if (news.members) {
+    placement_.set_members(*news.members);
+  }
+  if (news.reconnected) {
+    // What was seen while this process was cut off says nothing of upstreams.
+    placement_.on_reconnected();
+    ability_.reset();
+  }
+  for (const auto& change : news.changes) {
+    on_change(change, now);
+  }
+}
+
 void forwarder::on_change(const fleet_change& change, time_point now) {
   if (const auto* upstream = std::get_if<upstream_change>(&change.what)) {
     if (const auto index = directory_.apply(*upstream, change.changed, now)) {
@@ -305,20 +321,6 @@
   placement_.set_out(change.name, change.out);
 }
 
-void forwarder::set_confirmed(time_point confirmed) {
-  placement_.set_confirmed(confirmed);
-  ability_.set_confirmed(confirmed);
-}
-
-void forwarder::set_members(std::vector<std::string> names) {
-  placement_.set_members(std::move(names));
-}
-
-void forwarder::on_reconnected() {
-  placement_.on_reconnected();
-  ability_.reset();
-}
-
 void forwarder::on_stall() { openings_.clear(); }
 
 void forwarder::tick(time_point now) {
--- a/src/number_text.cc
+++ b/src/number_text.cc
@@ -54,7 +54,8 @@
     while (places.back() == '0') {
       places.pop_back();
     }
-    text += "." + places;
+    text += ".";
+    text += places;
   }
   return text;
 }
