Do not count an opening packet as repeated where it was not

Cause: without another upstream a repeat was placed at the same one, took its share of probes and moved the time of the handshake, but nothing was sent. Change: a repeat after the timeout excludes the upstream that was silent.

--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -72,8 +72,8 @@
   packet_verdict on_opening(const flow_packet& packet, time_point now);
   packet_verdict on_established(const flow_packet& packet, time_point now);
   std::optional<packet_verdict> place(open_flow& flow,
-                                      std::optional<upstream_index> avoided,
-                                      time_point now);
+                                      std::optional<upstream_index> before,
+                                      bool may_repeat, time_point now);
   std::optional<packet_verdict> place_again(open_flow& flow, repeat_cause cause,
                                             time_point now);
   packet_verdict to_upstream(upstream_index upstream, fate_reason reason) const;
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -48,11 +48,12 @@
   /// entries do not say so yet.
   void spare(const std::string& data_centre, duration time, time_point now);
 
-  /// An upstream of `service` for a new flow; `avoided` only if nothing else
-  /// can take it. Nullopt if no upstream can.
+  /// An upstream of `service` for a new flow. `before` has not answered the
+  /// flow; it is chosen only if nothing else can take it, or not at all.
+  /// Nullopt if no upstream can take the flow.
   std::optional<placed> choose(const fleet_service& service,
-                               std::optional<upstream_index> avoided,
-                               time_point now);
+                               std::optional<upstream_index> before,
+                               bool may_repeat, time_point now);
 
   /// A flow has been placed at the upstream.
   void on_placed(upstream_index upstream, bool uses_cold_share, time_point now);
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -63,7 +63,7 @@
   flow->repeats = 0;
   const auto verdict = is_copy
                            ? place_again(*flow, repeat_cause::callers_copy, now)
-                           : place(*flow, std::nullopt, now);
+                           : place(*flow, std::nullopt, true, now);
   if (!verdict) {
     flows_.erase(packet.flow);
     return refuse_opening(packet, now);
@@ -90,7 +90,8 @@
 }
 
 std::optional<packet_verdict> forwarder::place(
-    open_flow& flow, std::optional<upstream_index> avoided, time_point now) {
+    open_flow& flow, std::optional<upstream_index> before, bool may_repeat,
+    time_point now) {
   end(flow);
   const auto* found = routes_.find(flow.ends.service);
   const auto* target =
@@ -100,7 +101,8 @@
   const auto chosen =
       target == nullptr
           ? std::nullopt
-          : placement_.choose(routes_.service(target->service), avoided, now);
+          : placement_.choose(routes_.service(target->service), before,
+                              may_repeat, now);
   if (!chosen) {
     return std::nullopt;
   }
@@ -124,7 +126,8 @@
   const auto before = flow.upstream;
   const auto waited = now - flow.sent_at;
   note_unanswered(flow, now);
-  const auto verdict = place(flow, before, now);
+  const bool may_repeat = cause == repeat_cause::callers_copy;
+  const auto verdict = place(flow, before, may_repeat, now);
   if (verdict && flow.upstream != before) {
     observer_.on_placed_again(flow, directory_.at(flow.upstream),
                               directory_.at(before), waited, cause, now);
@@ -143,9 +146,8 @@
       continue;
     }
     ++flow->repeats;
-    const auto before = flow->upstream;
-    const auto verdict = place_again(*flow, repeat_cause::timeout, now);
-    if (verdict && flow->upstream != before) {
+    if (const auto verdict =
+            place_again(*flow, repeat_cause::timeout, now)) {
       repeated.push_back({*verdict, flow->opening});
     }
   }
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -82,8 +82,8 @@
 }
 
 std::optional<placed> placement::choose(const fleet_service& service,
-                                        std::optional<upstream_index> avoided,
-                                        time_point now) {
+                                        std::optional<upstream_index> before,
+                                        bool may_repeat, time_point now) {
   best_choice usual;
   best_choice cold;
   best_choice doubtful;
@@ -91,7 +91,8 @@
   const auto& usual_time = service_flow_time_[service.name];
   for (const auto index : directory_.of_service(service.name)) {
     const auto& known = directory_.at(index);
-    if (!known.takes_flows(confirmed_) || is_out(known.record.data_centre)) {
+    if (!known.takes_flows(confirmed_) || is_out(known.record.data_centre) ||
+        (index == before && !may_repeat)) {
       continue;
     }
     auto& loaded = of(index);
@@ -108,7 +109,7 @@
                        loaded.in_flight};
     ++candidates;
     const double rank = score(known, loaded, usual_time, now);
-    if (index == avoided || loaded.health.is_avoided(now)) {
+    if (index == before || loaded.health.is_avoided(now)) {
       doubtful.offer(offer, rank, random_);
     } else if (is_cold) {
       cold.offer(offer, rank, random_);
--- a/test/fleet/fleet_world.cc
+++ b/test/fleet/fleet_world.cc
@@ -284,7 +284,7 @@
   if (node == nullptr) {
     return;
   }
-  const auto datagram = test_packets::packet(
+  const auto datagram = test_packets::datagram_of(
       {run->flow, flags, 7, acknowledged, run->echo}, data);
   clock.after(caller_delay, [this, node, datagram, run] {
     if (node->frozen) {
--- a/test/fleet/test_packets.h
+++ b/test/fleet/test_packets.h
@@ -22,7 +22,7 @@
   std::uint32_t echo = 0;
 };
 
-inline bytes packet(const head& from, const std::string& data = {}) {
+inline bytes datagram_of(const head& from, const std::string& data = {}) {
   namespace endian = boost::endian;
   bytes datagram(34 + data.size());
   auto* at = datagram.data();
--- /dev/null
+++ b/test/forwarder-test.cc
@@ -0,0 +1,364 @@
+#define BOOST_TEST_MODULE forwarder
+#include "rosemarydrum/forwarding/forwarder.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "fleet/test_packets.h"
+#include "platform/packet_codec.h"
+
+namespace rosemarydrum {
+namespace {
+
+using namespace test_packets;
+
+/// Counts what it hears of.
+struct recording_observer : forwarder_observer {
+  void on_handshake(const open_flow&, time_point) override { ++handshakes; }
+  void on_opened(const open_flow& flow, const known_upstream&,
+                 time_point) override {
+    requests.push_back(flow.request);
+  }
+  void on_placed_again(const open_flow&, const known_upstream&,
+                       const known_upstream&, duration, repeat_cause cause,
+                       time_point) override {
+    causes.push_back(cause);
+  }
+  void on_refused(const flow_packet&, fate_reason reason, const std::string&,
+                  const std::string&, const upstream_census&,
+                  time_point) override {
+    refused.push_back(reason);
+  }
+  void on_unanswered(const open_flow&, const known_upstream&,
+                     time_point) override {
+    ++unanswered;
+  }
+  void on_discarded(const flow_packet&, fate_reason reason,
+                    time_point) override {
+    discarded.push_back(reason);
+  }
+  void on_ended(const open_flow&, const known_upstream&, time_point) override {
+    ++ended;
+  }
+  void on_silent(const open_flow&, const known_upstream&, int,
+                 time_point) override {
+    ++silent;
+  }
+  void on_answers(const open_flow&, const known_upstream&, duration,
+                  time_point) override {
+    ++answers;
+  }
+
+  int handshakes = 0;
+  int unanswered = 0;
+  int ended = 0;
+  int silent = 0;
+  int answers = 0;
+  std::vector<std::string> requests;
+  std::vector<repeat_cause> causes;
+  std::vector<fate_reason> refused;
+  std::vector<fate_reason> discarded;
+};
+
+struct fixture {
+  static constexpr time_point start{seconds(100)};
+  static time_point at(int ms) { return start + milliseconds(ms); }
+
+  fixture() {
+    auto routes = std::make_shared<fleet_configuration>();
+    routes->version = 1;
+    routes->routes.push_back(
+        {"r-desk", default_service, {{"desk", 1}}, request_type::idempotent,
+         milliseconds(1500), milliseconds(300), 0});
+    routes->services.push_back({"desk", milliseconds(2000), 0});
+    change(configuration_change{routes});
+  }
+
+  void change(decltype(fleet_change::what) what) {
+    fleet_update news;
+    news.confirmed_at = start;
+    revision_ = revision(value_of(revision_) + 1);
+    news.changes.push_back({revision_, std::move(what)});
+    tested.on_update(news, start);
+  }
+
+  void add(std::uint64_t key, record_state state = record_state::present) {
+    change(upstream_change{
+        state,
+        {upstream_key(key), "desk", "north",
+         {static_cast<std::uint32_t>(key), 80}, 4, false, milliseconds(0),
+         incarnation(1)},
+        milliseconds(0)});
+  }
+
+  packet_verdict take(const head& from, time_point now,
+                      const std::string& data = {}) {
+    const auto datagram = datagram_of(from, data);
+    return tested.on_packet(*codec.decode(datagram), now);
+  }
+
+  packet_verdict open(std::uint16_t port, time_point now) {
+    return take({flow_of(port)}, now);
+  }
+  packet_verdict follow(std::uint16_t port, const packet_verdict& opened,
+                        time_point now, std::uint8_t flags = ack,
+                        const std::string& data = {}) {
+    return take({flow_of(port), flags, 8, 1, value_of(opened.tag)}, now, data);
+  }
+
+  platform::packet_codec codec;
+  recording_observer seen;
+  forwarder tested{{.name = "node-1", .data_centre = "north"}, codec, seen};
+
+ private:
+  revision revision_{};
+};
+
+constexpr auto data_centre_change_of = [](bool out) {
+  return data_centre_change{"north", out};
+};
+
+// Guards against a flow whose packets go to different upstreams.
+BOOST_FIXTURE_TEST_CASE(packets_follow_the_tag, fixture) {
+  add(1);
+  add(2);
+  const auto opened = open(1, start);
+  BOOST_REQUIRE(opened.fate == packet_fate::forward);
+  for (int i = 1; i < 5; ++i) {
+    const auto next = follow(1, opened, at(10 * i));
+    BOOST_CHECK(next.upstream == opened.upstream);
+    BOOST_CHECK(next.to == opened.to);
+  }
+  // Also through a forwarder that has never seen the flow.
+  recording_observer none;
+  BOOST_CHECK(follow(77, opened, at(100)).upstream == opened.upstream);
+}
+
+// Guards against a flow that changes its upstream because a second answer to
+// its repeated opening packet came late and changed the tag.
+BOOST_FIXTURE_TEST_CASE(the_first_tag_of_a_flow_counts, fixture) {
+  add(1);
+  add(2);
+  const auto first = open(1, start);
+  const auto repeated = tested.repeat_openings(at(60));
+  BOOST_REQUIRE_EQUAL(repeated.size(), 1U);
+  const auto second = repeated[0].verdict;
+  BOOST_REQUIRE(first.upstream != second.upstream);
+  BOOST_CHECK(follow(1, second, at(70)).upstream == second.upstream);
+  BOOST_CHECK(follow(1, first, at(80)).upstream == second.upstream);
+}
+
+// Guards against 200 ms that callers lose when an upstream does not answer, and
+// against copies that go to the silent one again.
+BOOST_FIXTURE_TEST_CASE(unanswered_openings_are_repeated_elsewhere, fixture) {
+  add(1);
+  add(2);
+  const auto first = open(1, start);
+  BOOST_CHECK(tested.repeat_openings(at(59)).empty());
+  const auto repeated = tested.repeat_openings(at(60));
+  BOOST_REQUIRE_EQUAL(repeated.size(), 1U);
+  BOOST_CHECK(repeated[0].verdict.upstream != first.upstream);
+  BOOST_CHECK(repeated[0].datagram == datagram_of({flow_of(1)}));
+  BOOST_CHECK(seen.causes == std::vector{repeat_cause::timeout});
+  // Answered in time: nothing is repeated.
+  const auto other = open(2, at(100));
+  follow(2, other, at(110));
+  BOOST_CHECK_EQUAL(seen.handshakes, 1);
+  BOOST_CHECK(tested.repeat_openings(at(119)).empty());
+}
+
+// Guards against repeats without bound, each of which may open a connection.
+BOOST_FIXTURE_TEST_CASE(repeats_are_bounded, fixture) {
+  for (std::uint64_t key = 1; key <= 8; ++key) {
+    add(key);
+  }
+  open(1, start);
+  std::size_t repeats = 0;
+  for (int ms = 0; ms < 1000; ms += 10) {
+    repeats += tested.repeat_openings(at(ms)).size();
+  }
+  BOOST_CHECK_EQUAL(repeats, static_cast<std::size_t>(most_repeats));
+  tested.tick(at(5000));
+  BOOST_CHECK_EQUAL(seen.unanswered, 1);
+}
+
+// Guards against a caller's copy that goes to the upstream that was silent.
+BOOST_FIXTURE_TEST_CASE(copies_of_callers_go_elsewhere, fixture) {
+  add(1);
+  add(2);
+  const auto first = open(1, start);
+  tested.on_stall(milliseconds(500), start);
+  const auto copy = take({flow_of(1), syn, 7, 1}, at(200));
+  BOOST_CHECK(copy.upstream != first.upstream);
+  BOOST_CHECK(seen.causes == std::vector{repeat_cause::callers_copy});
+}
+
+// Guards against a copy that was delayed and opens a second connection.
+BOOST_FIXTURE_TEST_CASE(late_copies_stay_with_the_open_flow, fixture) {
+  add(1);
+  add(2);
+  const auto opened = open(1, start);
+  follow(1, opened, at(10));
+  const auto copy = take({flow_of(1), syn, 7, 1}, at(200));
+  BOOST_CHECK(copy.upstream == opened.upstream);
+  BOOST_CHECK(seen.causes.empty());
+}
+
+// Guards against a reset that is not true, or that comes late: a refused flow
+// has no upstream anywhere.
+BOOST_FIXTURE_TEST_CASE(flows_without_any_upstream_are_refused_at_once,
+                        fixture) {
+  BOOST_CHECK(open(1, start).fate == packet_fate::reset);
+  add(1);
+  change(data_centre_change_of(true));
+  BOOST_CHECK(open(2, start).fate == packet_fate::reset);
+  BOOST_CHECK(seen.refused == (std::vector{fate_reason::no_upstream,
+                                           fate_reason::no_upstream}));
+}
+
+// Guards against a final answer while other forwarders may reach upstreams
+// that do not answer this one.
+BOOST_FIXTURE_TEST_CASE(unreachable_upstreams_are_no_reason_for_a_reset,
+                        fixture) {
+  add(1);
+  packet_verdict last;
+  for (std::uint16_t port = 1; port < 20; ++port) {
+    last = open(port, at(20 * port));
+    tested.repeat_openings(at(20 * port + 19));
+  }
+  BOOST_CHECK(last.fate == packet_fate::discard);
+  BOOST_CHECK(last.reason == fate_reason::unreachable);
+  BOOST_CHECK(seen.refused.empty());
+  BOOST_CHECK_GE(seen.silent, 1);
+  BOOST_CHECK(tested.ability().is_unable(at(400)));
+}
+
+// Guards against a reset for a route that is newer than what is known here.
+BOOST_FIXTURE_TEST_CASE(unknown_routes_get_no_answer, fixture) {
+  const auto verdict = take({flow_of(1, {5, 5})}, start);
+  BOOST_CHECK(verdict.fate == packet_fate::discard);
+  BOOST_CHECK(verdict.reason == fate_reason::no_route);
+}
+
+// Guards against open flows that go on after their route was removed.
+BOOST_FIXTURE_TEST_CASE(flows_of_removed_routes_end, fixture) {
+  add(1);
+  const auto opened = open(1, start);
+  follow(1, opened, at(10));
+  auto without = std::make_shared<fleet_configuration>();
+  without->version = 2;
+  change(configuration_change{without});
+  BOOST_CHECK(follow(1, opened, at(20)).fate == packet_fate::reset);
+}
+
+// Guards against open flows that end with a data centre at once, and against
+// packets to it after the users' bound.
+BOOST_FIXTURE_TEST_CASE(flows_to_a_data_centre_that_is_out_end_in_time,
+                        fixture) {
+  add(1);
+  const auto opened = open(1, start);
+  follow(1, opened, at(10));
+  change(data_centre_change_of(true));
+  BOOST_CHECK(follow(1, opened, at(4900)).fate == packet_fate::forward);
+  const auto late = follow(1, opened, at(5000));
+  BOOST_CHECK(late.fate == packet_fate::discard);
+  BOOST_CHECK(late.reason == fate_reason::data_centre_out);
+  change(data_centre_change_of(false));
+  BOOST_CHECK(follow(1, opened, at(5100)).fate == packet_fate::forward);
+}
+
+// Guards against packets that belong to nobody's flow, or are not a caller's.
+BOOST_FIXTURE_TEST_CASE(stray_packets_are_discarded, fixture) {
+  add(1);
+  BOOST_CHECK(take({flow_of(1), ack, 8, 1, 0}, start).reason ==
+              fate_reason::not_a_callers_packet);
+  BOOST_CHECK(take({flow_of(1), ack, 8, 1, 12345}, start).reason ==
+              fate_reason::unknown_tag);
+  BOOST_CHECK(
+      take({flow_of(1), std::uint8_t{syn | ack}, 8, 1, 1}, start).reason ==
+      fate_reason::not_a_callers_packet);
+  BOOST_CHECK(
+      take({flow_of(1), std::uint8_t{syn | rst}, 8, 1, 1}, start).reason ==
+      fate_reason::not_a_callers_packet);
+  BOOST_CHECK_EQUAL(seen.discarded.size(), 4U);
+}
+
+// Guards against load that is counted on after a flow has ended.
+BOOST_FIXTURE_TEST_CASE(ended_flows_free_their_place, fixture) {
+  add(1);
+  add(2);
+  for (std::uint16_t port = 1; port <= 20; ++port) {
+    const auto opened = open(port, at(port));
+    follow(port, opened, at(port), ack, "GET / HTTP/1.1\r\n\r\n");
+    follow(port, opened, at(port), fin | ack);
+  }
+  BOOST_CHECK_EQUAL(seen.ended, 20);
+  // Both are free, so that the choice is as at the start.
+  const auto one = open(101, at(50));
+  const auto other = open(102, at(50));
+  BOOST_CHECK(one.upstream != other.upstream);
+}
+
+// Guards against a request that cannot be found in the log by its id.
+BOOST_FIXTURE_TEST_CASE(the_requests_id_is_read, fixture) {
+  add(1);
+  const auto opened = open(1, start);
+  follow(1, opened, at(5));
+  follow(1, opened, at(6), ack,
+         "GET / HTTP/1.1\r\nHost: a\r\nx-request-id: 7f3a\r\n\r\n");
+  follow(1, opened, at(7), ack,
+         "GET / HTTP/1.1\r\nX-Request-Id: other\r\n\r\n");
+  BOOST_CHECK(seen.requests == std::vector<std::string>{"7f3a"});
+}
+
+// Guards against flows that are placed by packets or knowledge as old as a
+// stall of the process.
+BOOST_FIXTURE_TEST_CASE(nothing_is_placed_right_after_a_stall, fixture) {
+  add(1);
+  tested.on_stall(milliseconds(500), start);
+  BOOST_CHECK(open(1, start).reason == fate_reason::stalled);
+  BOOST_CHECK(open(1, at(20)).fate == packet_fate::forward);
+  tested.on_stall(seconds(4), at(100));
+  BOOST_CHECK(open(2, at(150)).reason == fate_reason::stalled);
+  fleet_update news;
+  news.confirmed_at = at(101);
+  tested.on_update(news, at(160));
+  BOOST_CHECK(open(2, at(160)).fate == packet_fate::forward);
+  // Without a confirmation it goes on after a while.
+  tested.on_stall(seconds(4), at(200));
+  BOOST_CHECK(open(3, at(799)).reason == fate_reason::stalled);
+  BOOST_CHECK(open(3, at(800)).fate == packet_fate::forward);
+}
+
+// Guards against an answer of an upstream that goes unnoticed after silence.
+BOOST_FIXTURE_TEST_CASE(silence_and_answers_are_told, fixture) {
+  add(1);
+  for (std::uint16_t port = 1; port <= 2; ++port) {
+    open(port, at(100 * port));
+    tested.repeat_openings(at(100 * port + 60));
+  }
+  BOOST_CHECK_EQUAL(seen.silent, 1);
+  const auto late = take({flow_of(2), ack, 8, 1, 1}, at(400));
+  BOOST_CHECK(late.fate == packet_fate::forward);
+  BOOST_CHECK_EQUAL(seen.answers, 1);
+}
+
+// Guards against an older configuration that takes the place of a newer one.
+BOOST_FIXTURE_TEST_CASE(older_configurations_are_ignored, fixture) {
+  auto newer = std::make_shared<fleet_configuration>();
+  newer->version = 9;
+  auto older = std::make_shared<fleet_configuration>();
+  older->version = 8;
+  fleet_update news;
+  news.changes.push_back({revision(50), configuration_change{newer}});
+  news.changes.push_back({revision(49), configuration_change{older}});
+  tested.on_update(news, start);
+  BOOST_CHECK_EQUAL(tested.routes().version(), 9U);
+  news.changes = {{revision(60), data_centre_change{"north", true}},
+                  {revision(59), data_centre_change{"north", false}}};
+  add(1);
+  tested.on_update(news, start);
+  BOOST_CHECK(open(1, start).fate != packet_fate::forward);
+}
+
+}  // namespace
+}  // namespace rosemarydrum
--- /dev/null
+++ b/test/upstream_directory-test.cc
@@ -0,0 +1,136 @@
+#define BOOST_TEST_MODULE upstream_directory
+#include "rosemarydrum/forwarding/upstream_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace rosemarydrum {
+namespace {
+
+constexpr time_point start{seconds(100)};
+
+upstream_change listed(std::uint64_t key, const std::string& service = "desk",
+                       std::uint64_t run = 1) {
+  return {record_state::present,
+          {upstream_key(key), service, "north", {1, 80}, 4, false,
+           milliseconds(0), incarnation(run)},
+          milliseconds(0)};
+}
+
+upstream_change removed(std::uint64_t key) {
+  auto change = listed(key);
+  change.state = record_state::removed;
+  return change;
+}
+
+// Guards against an older answer of the store that undoes a newer one.
+BOOST_AUTO_TEST_CASE(older_changes_are_ignored) {
+  upstream_directory directory;
+  auto draining = listed(7);
+  draining.record.draining = true;
+  BOOST_REQUIRE(directory.apply(draining, revision(5), start));
+  BOOST_CHECK(!directory.apply(listed(7), revision(4), start));
+  BOOST_CHECK(!directory.apply(listed(7), revision(5), start));
+  BOOST_CHECK(!directory.at(*directory.find(upstream_key(7)))
+                   .takes_flows(start));
+}
+
+// Guards against flows of upstreams that left the list while they live.
+BOOST_AUTO_TEST_CASE(gone_upstreams_are_remembered_for_their_flows) {
+  upstream_directory directory(seconds(60));
+  directory.apply(listed(7), revision(1), start);
+  directory.apply(removed(7), revision(2), start);
+  const auto tag = upstream_directory::tag_of(upstream_key(7));
+  BOOST_REQUIRE(directory.find(tag));
+  BOOST_CHECK(!directory.at(*directory.find(tag)).takes_flows(start));
+  int forgotten = 0;
+  directory.forget_gone(start + seconds(59),
+                        [&](upstream_index) { ++forgotten; });
+  BOOST_CHECK_EQUAL(forgotten, 0);
+  directory.forget_gone(start + seconds(60),
+                        [&](upstream_index) { ++forgotten; });
+  BOOST_CHECK_EQUAL(forgotten, 1);
+  BOOST_CHECK(!directory.find(tag));
+  BOOST_CHECK(directory.of_service("desk").empty());
+}
+
+// Guards against a removed upstream that this process never saw: flows may
+// still belong to it.
+BOOST_AUTO_TEST_CASE(removed_upstreams_that_were_not_known_are_learnt) {
+  upstream_directory directory;
+  BOOST_REQUIRE(directory.apply(removed(9), revision(3), start));
+  BOOST_CHECK(directory.find(upstream_directory::tag_of(upstream_key(9))));
+  upstream_change bare{record_state::removed, {}, milliseconds(0)};
+  bare.record.key = upstream_key(10);
+  BOOST_CHECK(!directory.apply(bare, revision(4), start));
+}
+
+// Guards against flows that go to an upstream whose entry cannot be read, and
+// against an end of those it has.
+BOOST_AUTO_TEST_CASE(unreadable_entries_keep_flows_but_get_none) {
+  upstream_directory directory;
+  directory.apply(listed(7), revision(1), start);
+  upstream_change unreadable{record_state::unreadable, {}, milliseconds(0)};
+  unreadable.record.key = upstream_key(7);
+  BOOST_REQUIRE(directory.apply(unreadable, revision(2), start));
+  const auto& known = directory.at(*directory.find(upstream_key(7)));
+  BOOST_CHECK(!known.takes_flows(start));
+  BOOST_CHECK_EQUAL(known.record.address.port, 80);
+}
+
+// Guards against an end of service because entries lapsed with the store.
+BOOST_AUTO_TEST_CASE(lapsed_entries_count_until_a_later_list_lacks_them) {
+  upstream_directory directory;
+  directory.apply(listed(7), revision(1), start);
+  auto lapsed = removed(7);
+  lapsed.grace = milliseconds(2000);
+  directory.apply(lapsed, revision(2), start);
+  const auto& known = directory.at(*directory.find(upstream_key(7)));
+  BOOST_CHECK(known.takes_flows(start + milliseconds(1999)));
+  BOOST_CHECK(!known.takes_flows(start + milliseconds(2000)));
+  directory.apply(listed(7), revision(3), start + seconds(1));
+  BOOST_CHECK(known.takes_flows(start + seconds(9)));
+}
+
+// Guards against two upstreams that share a tag: their flows would mix.
+BOOST_AUTO_TEST_CASE(only_the_older_of_two_with_one_tag_takes_flows) {
+  // Keys beyond 32 bits are folded. Looks for two that collide.
+  std::unordered_map<std::uint32_t, std::uint64_t> seen;
+  std::uint64_t first = 0;
+  std::uint64_t second = 0;
+  for (std::uint64_t key = std::uint64_t{1} << 40; second == 0; ++key) {
+    const auto tag = value_of(upstream_directory::tag_of(upstream_key(key)));
+    const auto [at, is_new] = seen.emplace(tag, key);
+    if (!is_new) {
+      first = at->second;
+      second = key;
+    }
+  }
+  upstream_directory directory;
+  directory.apply(listed(second, "desk", 20), revision(1), start);
+  directory.apply(listed(first, "desk", 10), revision(2), start);
+  const auto& older = directory.at(*directory.find(upstream_key(first)));
+  const auto& newer = directory.at(*directory.find(upstream_key(second)));
+  BOOST_CHECK(older.takes_flows(start));
+  BOOST_CHECK(!newer.takes_flows(start));
+  BOOST_CHECK(directory.find(older.tag) == directory.find(upstream_key(first)));
+}
+
+// Guards against a lookup by the service that an upstream had before.
+BOOST_AUTO_TEST_CASE(upstreams_may_change_their_service) {
+  upstream_directory directory;
+  directory.apply(listed(7, "desk"), revision(1), start);
+  directory.apply(listed(7, "vault"), revision(2), start);
+  BOOST_CHECK(directory.of_service("desk").empty());
+  BOOST_CHECK_EQUAL(directory.of_service("vault").size(), 1U);
+}
+
+// Guards against the tag 0, which callers use for "none".
+BOOST_AUTO_TEST_CASE(tags_are_never_zero) {
+  BOOST_CHECK(upstream_directory::tag_of(upstream_key(0)) != upstream_tag{});
+  BOOST_CHECK_EQUAL(
+      value_of(upstream_directory::tag_of(upstream_key(0x7f3a91c2))),
+      0x7f3a91c2U);
+}
+
+}  // namespace
+}  // namespace rosemarydrum
