Test store, spread, platform codecs, logs and journals

Cause: these components had tests only through the fleet. A closed pipe drops the log's lines with a count instead of ending the process with SIGPIPE where it is not ignored.

--- a/apps/log/log_writer.cc
+++ b/apps/log/log_writer.cc
@@ -96,7 +96,15 @@
   std::size_t written = 0;
   while (written < waiting_.size()) {
     pollfd ready{descriptor_, POLLOUT, 0};
-    if (poll(&ready, 1, 0) <= 0 || (ready.revents & POLLOUT) == 0) {
+    if (poll(&ready, 1, 0) <= 0) {
+      break;
+    }
+    if ((ready.revents & (POLLERR | POLLNVAL)) != 0) {
+      // Nobody will read it.
+      dropped_ += static_cast<std::uint64_t>(
+          std::count(waiting_.begin() + static_cast<std::ptrdiff_t>(written),
+                     waiting_.end(), '\n'));
+      written = waiting_.size();
       break;
     }
     const auto size =
--- a/src/events/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -140,11 +140,13 @@
     {upstream_silent, "upstream_silent", warning,
      "An upstream has not answered two handshakes of this process in a row; it "
      "is avoided and tried again now and then.",
-     "upstream service data_centre flow unanswered revision age_ms"},
+     "upstream service data_centre flow unanswered configuration revision "
+     "age_ms"},
     {upstream_answers, "upstream_answers", info,
      "An upstream that was silent has answered. It gets few flows for "
      "`spared_ms`, because it may have been restarted.",
-     "upstream service data_centre flow spared_ms revision age_ms"},
+     "upstream service data_centre flow spared_ms configuration revision "
+     "age_ms"},
     {request_refused, "request_refused", warning,
      "A request was refused; detail is the error's number.",
      "service flow request detail"},
@@ -212,14 +214,14 @@
      "A request took longer than its route's objective from its first packet "
      "to the caller's end of the flow.",
      "request flow route upstream service attempts handshake_us first_data_us "
-     "duration_us objective_ms in_flight configuration revision"},
+     "duration_us objective_ms in_flight configuration revision age_ms"},
     {service_unable, "service_unable", warning,
      "Nearly all of the latest new flows have failed; this process "
      "reports itself not ready for `pause_ms`.",
-     "opened failed pause_ms revision age_ms"},
+     "opened failed pause_ms configuration revision age_ms"},
     {service_able, "service_able", info,
      "This process takes part again after `service_unable`.",
-     "revision age_ms"},
+     "configuration revision age_ms"},
 };
 
 }  // namespace
--- /dev/null
+++ b/test/member_registration-test.cc
@@ -0,0 +1,96 @@
+#define BOOST_TEST_MODULE member_registration
+#include "rosemarydrum/spread/member_registration.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "fleet/fake_kv_store.h"
+#include "rosemarydrum/spread/member_codec.h"
+
+namespace rosemarydrum {
+namespace {
+
+struct fixture {
+  void start() {
+    replica = std::make_unique<item_replica>(seconds(60));
+    replica->apply({store.list({}, {}, duration(0)).items, true, {}, store.at()},
+                   clock.now());
+    tested = std::make_unique<member_registration>(client, *replica, self);
+    tick(tested.get());
+  }
+  void tick(member_registration* registration) {
+    if (registration == tested.get()) {
+      registration->tick(clock.now());
+      clock.after(milliseconds(100), [this, registration] {
+        tick(registration);
+      });
+    }
+  }
+  kv_read stored() { return store.list(std::string(members_prefix), {}, {}); }
+
+  member_record self{"node-1", "north", {1, 7700}, 250};
+  scheduler clock;
+  fake_kv_store store{clock};
+  fake_kv_client client{store};
+  std::unique_ptr<item_replica> replica;
+  std::unique_ptr<member_registration> tested;
+};
+
+// Guards against a member that the others cannot find.
+BOOST_FIXTURE_TEST_CASE(the_record_is_written, fixture) {
+  start();
+  clock.run_for(seconds(1));
+  BOOST_REQUIRE_EQUAL(stored().items.size(), 1U);
+  BOOST_CHECK(decode_member(stored().items[0].key, stored().items[0].value) ==
+              self);
+  BOOST_CHECK(tested->is_registered());
+  BOOST_CHECK(tested->has_written());
+}
+
+// Guards against two writes for each of thousands of restarts a day.
+BOOST_FIXTURE_TEST_CASE(a_restart_in_place_keeps_the_record, fixture) {
+  start();
+  clock.run_for(seconds(1));
+  const auto at = store.at();
+  const auto calls = client.calls;
+  start();
+  clock.run_for(seconds(1));
+  BOOST_CHECK(store.at() == at);
+  BOOST_CHECK_EQUAL(client.calls, calls);
+  BOOST_CHECK(tested->is_registered());
+  BOOST_CHECK(!tested->has_written());
+}
+
+// Guards against an old address that stays in the list.
+BOOST_FIXTURE_TEST_CASE(a_record_that_differs_is_replaced, fixture) {
+  start();
+  clock.run_for(seconds(1));
+  self.address.port = 7701;
+  start();
+  clock.run_for(seconds(1));
+  BOOST_CHECK(decode_member(stored().items[0].key, stored().items[0].value) ==
+              self);
+}
+
+// Guards against a member that is not in the list after its lease has ended.
+BOOST_FIXTURE_TEST_CASE(a_lost_lease_is_replaced, fixture) {
+  start();
+  clock.run_for(seconds(1));
+  store.end(stored().items[0].lease);
+  BOOST_CHECK(stored().items.empty());
+  clock.run_for(seconds(21));
+  BOOST_CHECK_EQUAL(stored().items.size(), 1U);
+}
+
+// Guards against a store in trouble that is asked as fast as it fails.
+BOOST_FIXTURE_TEST_CASE(failures_are_retried_with_growing_pauses, fixture) {
+  client.fault = store_fault::refuses;
+  start();
+  clock.run_for(seconds(20));
+  BOOST_CHECK_LE(client.calls, 10);
+  client.fault = store_fault::none;
+  clock.run_for(seconds(6));
+  BOOST_CHECK(tested->is_registered());
+}
+
+}  // namespace
+}  // namespace rosemarydrum
--- /dev/null
+++ b/test/store_client-test.cc
@@ -0,0 +1,226 @@
+#define BOOST_TEST_MODULE store_client
+#include "platform/store_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <thread>
+
+#include "platform/store_answers.h"
+
+namespace rosemarydrum::platform {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+/// Answers one connection with prepared responses and keeps the requests.
+class canned_server {
+ public:
+  struct response {
+    unsigned status = 200;
+    std::string body;
+    /// Closes the connection instead of answering.
+    bool cut = false;
+  };
+
+  explicit canned_server(std::deque<response> responses)
+      : responses_(std::move(responses)), thread_([this] { run(); }) {}
+  ~canned_server() { thread_.join(); }
+  canned_server(const canned_server&) = delete;
+  canned_server& operator=(const canned_server&) = delete;
+
+  tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+  /// "GET /target", then the body if there is one.
+  std::vector<std::string> requests;
+
+ private:
+  void run() {
+    while (!responses_.empty()) {
+      tcp::socket socket(io_);
+      acceptor_.accept(socket);
+      boost::beast::flat_buffer buffer;
+      while (!responses_.empty()) {
+        http::request<http::string_body> request;
+        boost::system::error_code error;
+        http::read(socket, buffer, request, error);
+        if (error) {
+          break;
+        }
+        requests.push_back(std::string(request.method_string()) + " " +
+                           std::string(request.target()) + " " +
+                           request.body());
+        const auto next = responses_.front();
+        responses_.pop_front();
+        if (next.cut) {
+          break;
+        }
+        http::response<http::string_body> answer(
+            static_cast<http::status>(next.status), 11);
+        answer.body() = next.body;
+        answer.prepare_payload();
+        http::write(socket, answer, error);
+      }
+    }
+  }
+
+  std::deque<response> responses_;
+  asio::io_context io_;
+  tcp::acceptor acceptor_{io_, {asio::ip::address_v4::loopback(), 0}};
+  std::thread thread_;
+};
+
+struct fixture {
+  /// Runs one call of the client against the response.
+  template <typename Result, typename Call>
+  Result ask(canned_server::response response, Call call) {
+    canned_server server({std::move(response)});
+    asio::io_context io;
+    store_client client(io, server.address());
+    std::optional<Result> result;
+    call(client, [&](const Result& got) { result = got; });
+    while (!result) {
+      io.run_one();
+    }
+    request = server.requests.empty() ? "" : server.requests[0];
+    return *result;
+  }
+
+  std::string request;
+};
+
+// Guards against a list that is asked for or read wrongly.
+BOOST_FIXTURE_TEST_CASE(lists_are_read, fixture) {
+  const auto read = ask<kv_read>(
+      {200,
+       R"({"items":[{"Key":"my/leader","Value":"bm9kZS0x","Rev":412,)"
+       R"("CreateRevision":400,"Lease":77120}],"MorePages":true,)"
+       R"("CurrentRev":530})"},
+      [](auto& client, auto done) {
+        client.list("servers/", "servers/i 1", read_freshness::stale, done);
+      });
+  BOOST_CHECK_EQUAL(
+      request,
+      "GET /v1/kv-range?Prefix=servers%2F&after=servers%2Fi%201&AllowStale=1 ");
+  BOOST_CHECK(read.error == error_kind::none);
+  BOOST_REQUIRE_EQUAL(read.items.size(), 1U);
+  BOOST_CHECK_EQUAL(read.items[0].key, "my/leader");
+  BOOST_CHECK_EQUAL(read.items[0].value, "node-1");
+  BOOST_CHECK(read.items[0].changed == revision(412));
+  BOOST_CHECK(read.items[0].lease == lease_id(77120));
+  BOOST_CHECK(read.at == revision(530));
+  BOOST_CHECK(read.more);
+}
+
+// Guards against an item that is missing and looks empty.
+BOOST_FIXTURE_TEST_CASE(single_items_are_read, fixture) {
+  const auto call = [](auto& client, auto done) {
+    client.get("op/config", read_freshness::linearizable, done);
+  };
+  const auto read = ask<kv_read>(
+      {200, R"({"Key":"op/config","Value":"e30=","Rev":4,"CreateRevision":4,)"
+            R"("Lease":0,"CurrentRev":9})"},
+      call);
+  BOOST_CHECK_EQUAL(request, "GET /v1/kv-key?Key=op%2Fconfig ");
+  BOOST_REQUIRE_EQUAL(read.items.size(), 1U);
+  BOOST_CHECK_EQUAL(read.items[0].value, "{}");
+  BOOST_CHECK(ask<kv_read>({404, R"({"CurrentRev":9})"}, call).error ==
+              error_kind::not_found);
+}
+
+// Guards against removals and lost history that go unnoticed.
+BOOST_FIXTURE_TEST_CASE(watches_are_read, fixture) {
+  const auto call = [](auto& client, auto done) {
+    client.watch("", revision(411), milliseconds(900), done);
+  };
+  const auto events = ask<kv_events>(
+      {200,
+       R"({"events":[{"Key":"a","Value":"bm9kZS0x","Rev":412,)"
+       R"("CreateRevision":412,"Lease":7},{"Key":"b","Rev":413,)"
+       R"("Removed":true}],"CurrentRev":413})"},
+      call);
+  BOOST_CHECK_EQUAL(request, "GET /v1/kv-watch?Prefix=&after=411&WaitMs=900 ");
+  BOOST_REQUIRE_EQUAL(events.items.size(), 2U);
+  BOOST_CHECK(!events.items[0].removed);
+  BOOST_CHECK(events.items[1].removed);
+  BOOST_CHECK(events.at == revision(413));
+  BOOST_CHECK(ask<kv_events>({410, ""}, call).error ==
+              error_kind::history_lost);
+}
+
+// Guards against a write whose outcome is taken for certain although its
+// answer was lost.
+BOOST_FIXTURE_TEST_CASE(writes_say_what_is_certain, fixture) {
+  const auto call = [](auto& client, auto done) {
+    client.write({{{"my/leader", revision{}}},
+                  {{"my/leader", "node-1", lease_id(77120)}},
+                  {"old"}},
+                 done);
+  };
+  const auto written = ask<kv_written>({200, R"({"Rev":412})"}, call);
+  BOOST_CHECK_EQUAL(
+      request,
+      "POST /v1/kv-txn "
+      R"({"Expect":[{"Key":"my/leader","Rev":0}],)"
+      R"("Put":[{"Key":"my/leader","Value":"bm9kZS0x","Lease":77120}],)"
+      R"("Delete":["old"]})");
+  BOOST_CHECK(written.error == error_kind::none);
+  BOOST_CHECK(written.changed == revision(412));
+  const auto refused = ask<kv_written>({503, ""}, call);
+  BOOST_CHECK(refused.error == error_kind::store_unavailable);
+  BOOST_CHECK(refused.outcome == certainty::not_run);
+  const auto clashed = ask<kv_written>({412, R"({"items":[]})"}, call);
+  BOOST_CHECK(clashed.error == error_kind::conflict);
+  BOOST_CHECK(clashed.outcome == certainty::not_run);
+  const auto lost = ask<kv_written>({200, "", true}, call);
+  BOOST_CHECK(lost.error != error_kind::none);
+  BOOST_CHECK(lost.outcome == certainty::unknown);
+  const auto garbled = ask<kv_written>({200, "{"}, call);
+  BOOST_CHECK(garbled.error != error_kind::none);
+  BOOST_CHECK(garbled.outcome == certainty::unknown);
+}
+
+// Guards against leases that are asked for or read wrongly.
+BOOST_FIXTURE_TEST_CASE(leases_are_read, fixture) {
+  const auto granted = ask<kv_lease>(
+      {200, R"({"Lease":77120,"TtlMs":3000})"}, [](auto& client, auto done) {
+        client.grant_lease(milliseconds(3000), done);
+      });
+  BOOST_CHECK_EQUAL(request, R"(POST /v1/kv-lease {"TtlMs":3000})");
+  BOOST_CHECK(granted.id == lease_id(77120));
+  BOOST_CHECK(granted.time_to_live == milliseconds(3000));
+  const auto kept = ask<kv_lease>(
+      {200, R"({"TtlMs":3000})"},
+      [](auto& client, auto done) { client.keep_lease(lease_id(7), done); });
+  BOOST_CHECK_EQUAL(request, "POST /v1/kv-keep/7 ");
+  BOOST_CHECK(kept.id == lease_id(7));
+  const auto ended = ask<kv_lease>(
+      {404, ""},
+      [](auto& client, auto done) { client.end_lease(lease_id(7), done); });
+  BOOST_CHECK_EQUAL(request, "DELETE /v1/kv-lease-end/7 ");
+  BOOST_CHECK(ended.error == error_kind::not_found);
+}
+
+// Guards against answers that cannot be read and count as empty ones.
+BOOST_AUTO_TEST_CASE(unreadable_answers_are_errors) {
+  for (const std::string body :
+       {"", "{", "[]", "{}", R"({"items":[],"MorePages":false})",
+        R"({"items":[{"Key":"a"}],"CurrentRev":1})",
+        R"({"items":{},"CurrentRev":1})"}) {
+    const http_answer answer{error_kind::none, true, 200, body};
+    BOOST_CHECK_MESSAGE(read_of(answer).error == error_kind::store_unavailable,
+                        body);
+    BOOST_CHECK(events_of(answer).error == error_kind::store_unavailable);
+  }
+  for (const unsigned status : {429U, 503U, 500U, 302U}) {
+    BOOST_CHECK(read_of({error_kind::none, true, status, "{}"}).error ==
+                error_kind::store_unavailable);
+  }
+}
+
+}  // namespace
+}  // namespace rosemarydrum::platform
