--- a/apps/command/run_command.cc
+++ b/apps/command/run_command.cc
@@ -53,12 +53,14 @@
   if (given.flags.count("word") > 0) {
     given.words = given.flags["word"].as<word_list>();
   }
-  // A word in brackets may be left out.
+  // A word in brackets may be left out, one with dots given several times.
   const auto expected = split(row.words);
   const auto optional = static_cast<std::size_t>(
       std::count_if(expected.begin(), expected.end(),
                     [](const auto& word) { return word.front() == '['; }));
-  if (given.words.size() > expected.size() ||
+  const bool is_repeatable =
+      !expected.empty() && expected.back().ends_with("...");
+  if ((given.words.size() > expected.size() && !is_repeatable) ||
       given.words.size() + optional < expected.size()) {
     return fail(
         error_kind::bad_settings,
--- a/apps/command/subcommand_table.cc
+++ b/apps/command/subcommand_table.cc
@@ -58,6 +58,11 @@
     {"events", "", "Show the time line of all balancers in order.",
      "events --data-centre 1\nevents --flow 81 --request 3 --output json",
      store_or_peers, add_events_flags, run_events},
+    {"explain", "FILE...",
+     "Say from forwarders' logs why a request ended as it did.",
+     "explain --id 82a8bc5272b8e648 logs/*.json\n"
+     "explain --id '100.64.0.7:40001>198.18.0.1:443' logs/*.json",
+     nothing, add_explain_flags, run_explain},
     {"config show", "[KEY]", "List the documents, or print one.",
      "config show\nconfig show service/hour-signal", store, no_flags,
      run_config_show},
--- a/apps/command/subcommands.h
+++ b/apps/command/subcommands.h
@@ -47,6 +47,9 @@
 result<report> run_status(command_context& context,
                           const subcommand_arguments& given);
 
+void add_explain_flags(boost::program_options::options_description& flags);
+result<report> run_explain(command_context& context,
+                           const subcommand_arguments& given);
 void add_events_flags(boost::program_options::options_description& flags);
 result<report> run_events(command_context& context,
                           const subcommand_arguments& given);
