--- a/test/fleet/fake_kv_store.h
+++ b/test/fleet/fake_kv_store.h
@@ -25,7 +25,11 @@
     std::function<void(const kv_events&)> answer;
   };
 
-  explicit fake_kv_store(scheduler& time) : time_(time) {}
+  using time_source = std::function<time_point()>;
+
+  explicit fake_kv_store(time_source now) : now_(std::move(now)) {}
+  explicit fake_kv_store(scheduler& time)
+      : fake_kv_store([&time] { return time.now(); }) {}
 
   revision put(const std::string& key, const std::string& value,
                lease_id lease = {}) {
@@ -41,7 +45,7 @@
     std::map<std::string, kv_item> items;
     kv_read read;
     for (const auto& each : history_) {
-      if (each.at + lag > time_.now()) {
+      if (each.at + lag > now_()) {
         break;
       }
       read.at = each.item.changed;
@@ -104,7 +108,6 @@
     }
   }
 
-  scheduler& time() { return time_; }
   revision at() const { return at_; }
 
   /// How old stale reads are.
@@ -117,7 +120,7 @@
   revision apply(kv_item item) {
     at_ = revision(value_of(at_) + 1);
     item.changed = at_;
-    history_.push_back({item, time_.now()});
+    history_.push_back({item, now_()});
     if (!watches_are_deaf) {
       auto waiting = std::exchange(watches_, {});
       for (auto& watch : waiting) {
@@ -131,7 +134,7 @@
     return at_;
   }
 
-  scheduler& time_;
+  time_source now_;
   revision at_{1};
   revision dropped_{};
   std::vector<change> history_;
@@ -154,7 +157,8 @@
 /// One process's client of the store.
 class fake_kv_client : public kv_store {
  public:
-  explicit fake_kv_client(fake_kv_store& store) : store_(store) {}
+  fake_kv_client(fake_kv_store& store, scheduler& time)
+      : store_(store), time_(time) {}
 
   void get(const std::string& key, read_freshness freshness,
            callback<kv_read> done) override {
@@ -190,14 +194,14 @@
     if (fails<kv_events>(done)) {
       return;
     }
-    store_.time().after(latency, [this, prefix, after, wait, answer] {
+    time_.after(latency, [this, prefix, after, wait, answer] {
       const auto now = store_.events_after(prefix, after);
       if (now.error != error_kind::none || !now.items.empty()) {
         answer(now);
         return;
       }
       store_.add_watch({prefix, after, answer});
-      store_.time().after(wait, [this, prefix, answer] {
+      time_.after(wait, [this, prefix, answer] {
         answer({error_kind::none, {}, store_.at()});
       });
     });
@@ -271,11 +275,11 @@
   template <typename Result>
   bool fails(const callback<Result>& done) {
     if (fault == store_fault::refuses) {
-      store_.time().after(latency, [done] {
+      time_.after(latency, [done] {
         done(failed<Result>(error_kind::store_unavailable));
       });
     } else if (fault == store_fault::silent) {
-      store_.time().after(
+      time_.after(
           deadline, [done] { done(failed<Result>(error_kind::timed_out)); });
     }
     return fault == store_fault::refuses || fault == store_fault::silent;
@@ -284,9 +288,9 @@
   template <typename Result>
   void reply(const callback<Result>& done, const Result& result) {
     if (fault == store_fault::none) {
-      store_.time().after(latency, [done, result] { done(result); });
+      time_.after(latency, [done, result] { done(result); });
     } else {
-      store_.time().after(
+      time_.after(
           deadline, [done] { done(failed<Result>(error_kind::timed_out)); });
     }
   }
@@ -296,12 +300,13 @@
     if (fails<Result>(done)) {
       return;
     }
-    store_.time().after(latency, [this, done = std::move(done), run] {
+    time_.after(latency, [this, done = std::move(done), run] {
       reply<Result>(done, run());
     });
   }
 
   fake_kv_store& store_;
+  scheduler& time_;
 };
 
 }  // namespace rosemarydrum
--- a/test/fleet/fleet_world.cc
+++ b/test/fleet/fleet_world.cc
@@ -11,30 +11,17 @@
 constexpr milliseconds tick{50};
 constexpr milliseconds check{500};
 constexpr int misses_out_of_rotation = 2;
-constexpr int retries = 2;
-constexpr milliseconds first_copy{200};
-constexpr milliseconds second_copy{600};
-constexpr milliseconds attempt_time{1400};
-constexpr milliseconds deadline{2000};
 constexpr std::uint16_t peer_port = 7700;
 
 }  // namespace
 
-/// One flow of a request.
-struct fleet_world::attempt {
-  std::size_t number = 0;
-  std::string data_centre;
-  std::string host;
-  flow_ends flow;
-  int tries_left = retries;
-  time_point began;
-  bool open = false;
-  bool done = false;
-  std::uint32_t echo = 0;
-};
-
 fleet_world::fleet_world(const std::vector<std::string>& data_centres)
-    : data_centres_(data_centres) {
+    : callers(clock,
+              {[this](const auto& centre, const auto& flow,
+                      const auto& datagram) {
+                send_packet(centre, flow, datagram);
+              }}),
+      data_centres_(data_centres) {
   check_ready();
 }
 
@@ -63,7 +50,7 @@
     // Calls that it has made may still be answered.
     former_.push_back(std::move(node));
   }
-  node = std::make_unique<test_node>(self, store, wiring);
+  node = std::make_unique<test_node>(self, store, clock, wiring);
   *process = node.get();
   wire(*node);
   return *node;
@@ -245,70 +232,33 @@
   return nullptr;
 }
 
-void fleet_world::request(const std::string& data_centre, std::size_t number,
-                          const std::string& host) {
-  auto run = std::make_shared<attempt>();
-  run->number = number == 0 ? ++next_request_ : number;
-  run->data_centre = data_centre;
-  run->host = host;
-  run->began = clock.now();
-  outcomes[run->number] = {};
-  start_attempt(std::move(run));
-}
-
-void fleet_world::start_attempt(std::shared_ptr<attempt> run) {
-  run->flow = {{0x64400001, next_port_++}, {*parse_ipv4(run->host), 443}};
-  run->open = false;
-  attempts_[run->flow] = run;
-  const auto flow = run->flow;
-  send_packet(run, test_packets::syn, 0, {});
-  const auto copy = [this, run, flow](duration wait, std::uint32_t copies) {
-    clock.after(wait, [this, run, flow, copies] {
-      if (!run->done && !run->open && run->flow == flow) {
-        send_packet(run, test_packets::syn, copies, {});
-      }
-    });
-  };
-  copy(first_copy, 1);
-  copy(second_copy, 2);
-  clock.after(attempt_time, [this, run, flow] {
-    if (!run->done && !run->open && run->flow == flow) {
-      finish(run, false);
-    }
-  });
+void fleet_world::request(const std::string& data_centre) {
+  callers.request(data_centre, test_packets::default_service);
 }
 
-void fleet_world::send_packet(const std::shared_ptr<attempt>& run,
-                              std::uint8_t flags, std::uint32_t acknowledged,
-                              const std::string& data) {
-  auto* node = route_to(run->data_centre, std::hash<flow_ends>{}(run->flow));
+void fleet_world::send_packet(const std::string& data_centre,
+                              const flow_ends& flow, const bytes& datagram) {
+  auto* node = route_to(data_centre, std::hash<flow_ends>{}(flow));
   if (node == nullptr) {
     return;
   }
-  const auto datagram = test_packets::datagram_of(
-      {run->flow, flags, 7, acknowledged, run->echo}, data);
-  clock.after(caller_delay, [this, node, datagram, run] {
+  clock.after(caller_delay, [this, node, flow, datagram] {
     if (node->frozen) {
       node->waiting.push_back(
-          [this, node, datagram, run] { deliver(*node, datagram, run); });
+          [this, node, flow, datagram] { deliver(*node, flow, datagram); });
     } else if (node->running) {
-      deliver(*node, datagram, run);
+      deliver(*node, flow, datagram);
     }
   });
 }
 
-void fleet_world::deliver(test_node& node, const bytes& datagram,
-                          const std::shared_ptr<attempt>& run) {
+void fleet_world::deliver(test_node& node, const flow_ends& flow,
+                          const bytes& datagram) {
   const auto verdict = node.take(datagram);
   if (verdict.fate == packet_fate::forward) {
     forward(node.record.data_centre, verdict, datagram);
   } else if (verdict.fate == packet_fate::reset) {
-    clock.after(caller_delay, [this, run, flow = run->flow] {
-      if (!run->done && run->flow == flow) {
-        outcomes[run->number].was_reset = true;
-        finish(run, false);
-      }
-    });
+    clock.after(caller_delay, [this, flow] { callers.on_reset(flow); });
   }
 }
 
@@ -328,59 +278,13 @@
     clock.after(near ? local_delay : cross_delay,
                 [this, to = upstream.get(), sent] {
                   for (const auto& each : to->take(sent)) {
-                    clock.after(each.delay + caller_delay, [this, each] {
-                      const auto found = attempts_.find(each.flow);
-                      if (found != attempts_.end()) {
-                        answer(std::shared_ptr(found->second), each);
-                      }
-                    });
+                    clock.after(each.delay + caller_delay,
+                                [this, each] { callers.on_answer(each); });
                   }
                 });
   }
 }
 
-void fleet_world::answer(const std::shared_ptr<attempt>& run,
-                         const upstream_answer& got) {
-  if (run->done || run->flow != got.flow) {
-    return;
-  }
-  run->echo = got.echo;
-  switch (got.kind) {
-    case answer_kind::handshake:
-      if (!std::exchange(run->open, true)) {
-        send_packet(run, test_packets::ack, 1, {});
-        send_packet(run, test_packets::ack, 1,
-                    "GET / HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r" +
-                        std::to_string(run->number) + "\r\n\r\n");
-      }
-      return;
-    case answer_kind::response:
-      outcomes[run->number].upstream = got.upstream;
-      send_packet(run, test_packets::fin | test_packets::ack, 2, {});
-      finish(run, true);
-      return;
-    case answer_kind::reset:
-      finish(run, false);
-      return;
-  }
-}
-
-void fleet_world::finish(const std::shared_ptr<attempt>& run, bool served) {
-  attempts_.erase(run->flow);
-  auto& outcome = outcomes[run->number];
-  const auto took = clock.now() - run->began;
-  const bool may_retry = !served && run->tries_left > 0 && took < deadline;
-  if (may_retry) {
-    --run->tries_left;
-    run->echo = 0;
-    start_attempt(run);
-    return;
-  }
-  run->done = true;
-  outcome.served = served && took <= deadline;
-  outcome.took = took;
-}
-
 void fleet_world::load(double per_second, duration time) {
   const auto gap = duration(static_cast<duration::rep>(1e6 / per_second));
   for (duration at{0}; at < time; at += gap) {
@@ -392,13 +296,13 @@
 
 std::size_t fleet_world::served() const {
   return static_cast<std::size_t>(
-      std::count_if(outcomes.begin(), outcomes.end(),
+      std::count_if(callers.outcomes.begin(), callers.outcomes.end(),
                     [](const auto& each) { return each.second.served; }));
 }
 
 std::size_t fleet_world::late(duration bound) const {
   return static_cast<std::size_t>(std::count_if(
-      outcomes.begin(), outcomes.end(), [bound](const auto& each) {
+      callers.outcomes.begin(), callers.outcomes.end(), [bound](const auto& each) {
         return each.second.served && each.second.took > bound;
       }));
 }
--- a/test/fleet/fleet_world.h
+++ b/test/fleet/fleet_world.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "fleet/fake_callers.h"
 #include "fleet/fake_kv_store.h"
 #include "fleet/fake_upstream.h"
 #include "fleet/platform_texts.h"
@@ -17,15 +18,6 @@
 
 namespace rosemarydrum {
 
-/// How a caller's request ended.
-struct request_outcome {
-  bool served = false;
-  bool was_reset = false;
-  /// From its first packet.
-  duration took{0};
-  std::string upstream;
-};
-
 /// Forwarders, upstreams and callers of a few data centres around the fake
 /// store, joined by links that can be cut. Time is the held clock's.
 class fleet_world {
@@ -66,16 +58,14 @@
   /// No packets pass between two data centres.
   void cut_between(const std::string& one, const std::string& other);
 
-  /// Sends a request of a caller in `data_centre`, with up to two retries, to
-  /// the default route. The outcome is kept in `outcomes`.
-  void request(const std::string& data_centre, std::size_t number = 0,
-               const std::string& host = "198.18.0.1");
+  /// Sends a request of a caller in `data_centre` to the default route.
+  void request(const std::string& data_centre);
   /// Requests at an even rate for `time` from each data centre.
   void load(double per_second, duration time);
   void run_for(duration time) { clock.run_for(time); }
 
   std::size_t served() const;
-  std::size_t failed() const { return outcomes.size() - served(); }
+  std::size_t failed() const { return callers.outcomes.size() - served(); }
   /// Requests that took longer than `bound`.
   std::size_t late(duration bound) const;
   int store_calls() const;
@@ -84,22 +74,16 @@
   fake_kv_store store{clock};
   std::map<std::string, std::unique_ptr<test_node>> nodes;
   std::map<std::string, std::unique_ptr<fake_upstream>> upstreams;
-  std::map<std::size_t, request_outcome> outcomes;
+  fake_callers callers;
 
  private:
-  struct attempt;
-
   bool is_cut(const std::string& one, const std::string& other) const;
   test_node* route_to(const std::string& data_centre, std::uint64_t hash);
-  void start_attempt(std::shared_ptr<attempt> run);
-  void send_packet(const std::shared_ptr<attempt>& run, std::uint8_t flags,
-                   std::uint32_t acknowledged, const std::string& data);
-  void deliver(test_node& node, const bytes& datagram,
-               const std::shared_ptr<attempt>& run);
+  void send_packet(const std::string& data_centre, const flow_ends& flow,
+                   const bytes& datagram);
+  void deliver(test_node& node, const flow_ends& flow, const bytes& datagram);
   void forward(const std::string& from_centre, const packet_verdict& verdict,
                const bytes& datagram);
-  void answer(const std::shared_ptr<attempt>& run, const upstream_answer& got);
-  void finish(const std::shared_ptr<attempt>& run, bool served);
   void wire(test_node& node);
   void send(const test_node& from, const spread_datagram& datagram);
   void fetch(test_node& asker, const endpoint& member, fetch_kind kind,
@@ -109,9 +93,6 @@
   std::vector<std::string> data_centres_;
   std::vector<std::unique_ptr<test_node>> former_;
   std::set<std::pair<std::string, std::string>> cuts_;
-  std::map<flow_ends, std::shared_ptr<attempt>> attempts_;
-  std::size_t next_request_ = 0;
-  std::uint16_t next_port_ = 1024;
   std::uint8_t next_node_ = 1;
 };
 
--- a/test/fleet/scheduler.h
+++ b/test/fleet/scheduler.h
@@ -4,16 +4,17 @@
 #include <map>
 #include <utility>
 
+#include "fleet/timeline.h"
 #include "rosemarydrum/runtime_clock.h"
 
 namespace rosemarydrum {
 
 /// Runs functions at their times of the held clock.
-class scheduler {
+class scheduler : public timeline {
  public:
-  time_point now() const { return runtime_clock::now(); }
+  time_point now() const override { return runtime_clock::now(); }
 
-  void after(duration wait, std::function<void()> run) {
+  void after(duration wait, std::function<void()> run) override {
     events_.emplace(now() + wait, std::move(run));
   }
 
--- a/test/fleet/test_node.h
+++ b/test/fleet/test_node.h
@@ -24,10 +24,11 @@
     std::function<void(const delayed_packet&)> repeat;
   };
 
-  test_node(member_record self, fake_kv_store& store, wiring to,
+  test_node(member_record self, fake_kv_store& store, scheduler& time,
+            wiring to,
             milliseconds longest_age = milliseconds(3000))
       : record(self),
-        client(store),
+        client(store, time),
         to_(std::move(to)),
         core_({.name = self.name,
                .data_centre = self.data_centre,
--- a/test/fleet_rules-test.cc
+++ b/test/fleet_rules-test.cc
@@ -84,7 +84,7 @@
   const auto before = store_calls();
   load(30, seconds(10));
   run_for(seconds(12));
-  BOOST_CHECK_EQUAL(served(), outcomes.size());
+  BOOST_CHECK_EQUAL(served(), callers.outcomes.size());
   BOOST_CHECK_EQUAL(late(milliseconds(100)), 0U);
   // Three readers, a watch a second each, and an audit.
   BOOST_CHECK_LE(store_calls() - before, 3 * (14 + 2));
@@ -209,7 +209,7 @@
   }
   fleet.run_for(seconds(3));
   BOOST_CHECK_EQUAL(fleet.served(), 6U);
-  for (const auto& [number, outcome] : fleet.outcomes) {
+  for (const auto& [number, outcome] : fleet.callers.outcomes) {
     BOOST_CHECK(!outcome.was_reset);
   }
 }
@@ -477,7 +477,7 @@
   }
   run_for(seconds(8));
   std::size_t in_progress = 0;
-  for (const auto& [number, outcome] : outcomes) {
+  for (const auto& [number, outcome] : callers.outcomes) {
     in_progress += outcome.served ? 0 : 1;
   }
   static_cast<void>(died);
--- a/test/measured_store-test.cc
+++ b/test/measured_store-test.cc
@@ -17,7 +17,7 @@
 BOOST_AUTO_TEST_CASE(calls_are_counted_by_kind_and_outcome) {
   scheduler clock;
   fake_kv_store store(clock);
-  fake_kv_client client(store);
+  fake_kv_client client(store, clock);
   measured_store tested(client);
   store.put("a", "1");
   int answered = 0;
@@ -54,7 +54,7 @@
 BOOST_AUTO_TEST_CASE(the_page_has_types_and_values) {
   scheduler clock;
   fake_kv_store store(clock);
-  fake_kv_client client(store);
+  fake_kv_client client(store, clock);
   const measured_store calls(client);
   control_metrics control;
   control.ready = true;
--- a/test/member_registration-test.cc
+++ b/test/member_registration-test.cc
@@ -30,7 +30,7 @@
   member_record self{"node-1", "north", {1, 7700}, 250};
   scheduler clock;
   fake_kv_store store{clock};
-  fake_kv_client client{store};
+  fake_kv_client client{store, clock};
   std::unique_ptr<item_replica> replica;
   std::unique_ptr<member_registration> tested;
 };
--- /dev/null
+++ b/test/soak/soak_faults.cc
@@ -0,0 +1,291 @@
+#include "soak/soak_faults.h"
+
+#include <csignal>
+
+namespace rosemarydrum {
+namespace {
+
+using node_type = soak_fleet::forwarder_process;
+
+duration between(soak_fleet& fleet, int least_ms, int most_ms) {
+  const auto range = static_cast<std::uint64_t>(most_ms - least_ms);
+  return milliseconds(least_ms + static_cast<int>(fleet.random() % range));
+}
+
+node_type& any_node(soak_fleet& fleet) {
+  return *fleet.nodes[fleet.random() % fleet.nodes.size()];
+}
+
+/// An upstream that is alive and ready; nullptr if the choice is none.
+fake_upstream* any_upstream(soak_fleet& fleet, const std::string& service) {
+  std::vector<fake_upstream*> ready;
+  for (auto& [digits, upstream] : fleet.upstreams) {
+    if (upstream->alive && upstream->entry.state == "ready" &&
+        upstream->entry.service == service) {
+      ready.push_back(upstream.get());
+    }
+  }
+  // Enough must be left to serve.
+  return ready.size() < 5 ? nullptr : ready[fleet.random() % ready.size()];
+}
+
+void restart_after(soak_fleet& fleet, node_type& node, duration down) {
+  fleet.kill_forwarder(node);
+  fleet.checks.disturb(node.name, fleet.time.now() + down);
+  fleet.time.after(down, [&fleet, &node] {
+    if (!node.process) {
+      fleet.start_forwarder(node);
+      fleet.checks.disturb(node.name, fleet.time.now());
+    }
+  });
+}
+
+duration kill_one(soak_fleet& fleet) {
+  const auto down = between(fleet, 200, 1500);
+  restart_after(fleet, any_node(fleet), down);
+  return down;
+}
+
+duration kill_all(soak_fleet& fleet) {
+  const auto down = between(fleet, 200, 1000);
+  for (auto& node : fleet.nodes) {
+    restart_after(fleet, *node, down);
+  }
+  return down;
+}
+
+duration stop_as_planned(soak_fleet& fleet) {
+  auto& node = any_node(fleet);
+  if (!node.process || node.paused) {
+    return duration(0);
+  }
+  node.expected_to_run = false;
+  node.process->signal(SIGTERM);
+  const auto grace = milliseconds(4500);
+  fleet.checks.disturb(node.name, fleet.time.now() + grace);
+  fleet.time.after(grace, [&fleet, &node] {
+    if (node.process && !node.expected_to_run) {
+      if (!node.process->wait_exit(milliseconds(0))) {
+        fleet.checks.fail("GRACE", node.name + " did not stop in time");
+      }
+      restart_after(fleet, node, milliseconds(100));
+    }
+  });
+  return grace;
+}
+
+duration pause_one(soak_fleet& fleet) {
+  auto& node = any_node(fleet);
+  if (!node.process || node.paused) {
+    return duration(0);
+  }
+  const auto time = between(fleet, 300, 5000);
+  node.paused = true;
+  node.process->signal(SIGSTOP);
+  fleet.checks.disturb(node.name, fleet.time.now() + time);
+  fleet.time.after(time, [&node] {
+    if (node.process) {
+      node.process->signal(SIGCONT);
+      node.paused = false;
+    }
+  });
+  return time;
+}
+
+duration harm_store_link(soak_fleet& fleet, link_fault fault, bool all) {
+  const auto time = between(fleet, 1000, 6000);
+  for (auto& node : fleet.nodes) {
+    if (all || fleet.random() % 3 == 0) {
+      node->store->set(fault);
+      fleet.time.after(time,
+                       [&node] { node->store->set(link_fault::none); });
+    }
+  }
+  fleet.checks.disturb_all(fleet.time.now() + time);
+  return time;
+}
+
+duration store_refused(soak_fleet& fleet) {
+  return harm_store_link(fleet, link_fault::reset, fleet.random() % 2 == 0);
+}
+duration store_silent(soak_fleet& fleet) {
+  return harm_store_link(fleet, link_fault::silent, fleet.random() % 2 == 0);
+}
+duration store_one_way(soak_fleet& fleet) {
+  return harm_store_link(fleet, link_fault::one_way, fleet.random() % 2 == 0);
+}
+duration store_slow(soak_fleet& fleet) {
+  return harm_store_link(fleet, link_fault::delayed, true);
+}
+
+duration silence_connections(soak_fleet& fleet) {
+  for (auto& node : fleet.nodes) {
+    node->store->silence_open_connections();
+  }
+  fleet.checks.disturb_all(fleet.time.now());
+  return duration(0);
+}
+
+duration deaf_watches(soak_fleet& fleet) {
+  fleet.store.watches_are_deaf = true;
+  fleet.time.after(seconds(1), [&fleet] {
+    fleet.store.watches_are_deaf = false;
+    fleet.store.drop_history();
+  });
+  fleet.checks.disturb_all(fleet.time.now() + seconds(1));
+  return seconds(1);
+}
+
+duration old_stale_reads(soak_fleet& fleet) {
+  fleet.store.stale_lag = seconds(5);
+  fleet.time.after(seconds(4),
+                   [&fleet] { fleet.store.stale_lag = duration(0); });
+  return seconds(4);
+}
+
+duration lapse(soak_fleet& fleet) {
+  const auto time = seconds(5);
+  for (auto& node : fleet.nodes) {
+    node->store->set(link_fault::silent);
+  }
+  fleet.checks.disturb_all(fleet.time.now() + time + seconds(2));
+  fleet.time.after(milliseconds(4500), [&fleet] {
+    for (auto& [digits, upstream] : fleet.upstreams) {
+      if (fleet.random() % 2 == 0) {
+        fleet.store.remove(platform_texts::upstream_key_of(upstream->id));
+      }
+    }
+  });
+  fleet.time.after(time, [&fleet] {
+    for (auto& node : fleet.nodes) {
+      node->store->set(link_fault::none);
+    }
+  });
+  fleet.time.after(time + milliseconds(1500), [&fleet] {
+    for (auto& [digits, upstream] : fleet.upstreams) {
+      if (upstream->alive) {
+        fleet.write_entry(*upstream);
+      }
+    }
+  });
+  return time + milliseconds(1500);
+}
+
+duration upstream_dies(soak_fleet& fleet) {
+  auto* upstream = any_upstream(fleet, "desk");
+  if (upstream == nullptr) {
+    return duration(0);
+  }
+  const auto time = between(fleet, 1000, 6000);
+  upstream->alive = false;
+  fleet.checks.on_disturbed_upstream(upstream->id, fleet.time.now());
+  fleet.time.after(milliseconds(3600), [&fleet, upstream] {
+    if (!upstream->alive) {
+      fleet.store.remove(platform_texts::upstream_key_of(upstream->id));
+    }
+  });
+  fleet.time.after(time, [&fleet, upstream] {
+    if (fleet.random() % 2 == 0) {
+      fleet.restart_upstream(*upstream, 2000);
+    } else {
+      fleet.add_upstream("desk", upstream->entry.zone, 2000);
+    }
+  });
+  return time;
+}
+
+duration upstream_leaves(soak_fleet& fleet) {
+  auto* upstream = any_upstream(fleet, "desk");
+  if (upstream == nullptr) {
+    return duration(0);
+  }
+  fleet.add_upstream("desk", upstream->entry.zone, 2000);
+  upstream->entry.state = "draining";
+  fleet.write_entry(*upstream);
+  fleet.checks.on_leaving(upstream->id, fleet.time.now());
+  fleet.time.after(seconds(4), [&fleet, upstream] {
+    upstream->alive = false;
+    fleet.checks.on_disturbed_upstream(upstream->id, fleet.time.now());
+    fleet.store.remove(platform_texts::upstream_key_of(upstream->id));
+  });
+  return seconds(4);
+}
+
+duration entry_of_another_writer(soak_fleet& fleet) {
+  auto* upstream = any_upstream(fleet, "desk");
+  if (upstream == nullptr) {
+    return duration(0);
+  }
+  fleet.store.put(platform_texts::upstream_key_of(upstream->id),
+                  R"({"Service":7,"State":"odd"})");
+  fleet.time.after(seconds(2),
+                   [&fleet, upstream] { fleet.write_entry(*upstream); });
+  return seconds(2);
+}
+
+duration change_routes(soak_fleet& fleet) {
+  std::swap(fleet.first_service, fleet.second_service);
+  fleet.configure();
+  fleet.time.after(seconds(4), [&fleet] {
+    std::swap(fleet.first_service, fleet.second_service);
+    fleet.configure();
+  });
+  return seconds(4);
+}
+
+duration storm_of_versions(soak_fleet& fleet) {
+  for (int i = 0; i < 20; ++i) {
+    fleet.time.after(milliseconds(70 * i), [&fleet] { fleet.configure(); });
+  }
+  return milliseconds(1400);
+}
+
+duration evacuate(soak_fleet& fleet) {
+  const auto centre =
+      fleet.data_centres[fleet.random() % fleet.data_centres.size()];
+  const auto key = platform_texts::evacuation_key(centre);
+  fleet.store.put(key, "{}");
+  fleet.checks.on_data_centre(centre, true, fleet.time.now());
+  const auto time = between(fleet, 3000, 9000);
+  fleet.time.after(time, [&fleet, centre, key] {
+    fleet.checks.on_data_centre(centre, false, fleet.time.now());
+    fleet.store.remove(key);
+  });
+  return time;
+}
+
+duration reload(soak_fleet& fleet) {
+  auto& node = any_node(fleet);
+  if (node.process) {
+    node.process->signal(SIGHUP);
+  }
+  return duration(0);
+}
+
+constexpr soak_fault table[] = {
+    {"kill_one", kill_one},
+    {"kill_all", kill_all},
+    {"stop_as_planned", stop_as_planned},
+    {"pause_one", pause_one},
+    {"store_refused", store_refused},
+    {"store_silent", store_silent},
+    {"store_one_way", store_one_way},
+    {"store_slow", store_slow},
+    {"silence_connections", silence_connections},
+    {"deaf_watches", deaf_watches},
+    {"old_stale_reads", old_stale_reads},
+    {"lapse", lapse},
+    {"upstream_dies", upstream_dies},
+    {"upstream_leaves", upstream_leaves},
+    {"entry_of_another_writer", entry_of_another_writer},
+    {"change_routes", change_routes},
+    {"storm_of_versions", storm_of_versions},
+    {"evacuate", evacuate},
+    {"reload", reload},
+};
+
+}  // namespace
+
+std::span<const soak_fault> soak_faults() { return table; }
+
+}  // namespace rosemarydrum
--- a/test/store_follower-test.cc
+++ b/test/store_follower-test.cc
@@ -21,7 +21,7 @@
 
   scheduler clock;
   fake_kv_store store{clock};
-  fake_kv_client client{store};
+  fake_kv_client client{store, clock};
   item_replica replica{seconds(60)};
   follow_mode mode = follow_mode::follow;
   int failures = 0;
--- a/test/value_reader-test.cc
+++ b/test/value_reader-test.cc
@@ -32,7 +32,7 @@
 
   scheduler clock;
   fake_kv_store store{clock};
-  fake_kv_client client{store};
+  fake_kv_client client{store, clock};
   item_replica replica{seconds(60)};
   value_reader reader{client, replica, [this](const item_listing& shown) {
                         replica.apply(shown, clock.now());
