Keep the tries of silent upstreams apart, and share cold ones between two

A restarted forwarder gave entries that had been removed before its start the grace of lapsed ones (DRAIN, fleet_rules, reader restarted). Change: two sponsors, one flow in 1.1 s each; members' tries begin at a random part of their period; only a process that has known the entry gives it grace.

--- a/include/rosemarydrum/forwarding/fleet_agent.h
+++ b/include/rosemarydrum/forwarding/fleet_agent.h
@@ -91,6 +91,7 @@
   std::uint64_t members_told_ = 0;
   std::uint64_t configuration_ = 0;
   bool was_fresh_ = false;
+  bool has_been_fresh_ = false;
   bool was_registered_ = false;
   bool reading_ = false;
   /// Until then, removed entries may have lapsed while the store was away.
--- a/include/rosemarydrum/forwarding/fleet_share.h
+++ b/include/rosemarydrum/forwarding/fleet_share.h
@@ -10,7 +10,7 @@
 namespace rosemarydrum {
 
 /// Members that may send flows to one cold upstream.
-inline constexpr std::size_t cold_sponsors = 3;
+inline constexpr std::size_t cold_sponsors = 2;
 
 /// How the fleet divides the few flows that a cold upstream bears. Members may
 /// know of each other late, so that twice the sponsors may be at work; the
@@ -29,7 +29,7 @@
   /// `flows_per_second` of the whole fleet.
   static duration sponsor_period(double flows_per_second);
   /// Time between two flows of one member to an upstream that may have become
-  /// cold, if all members send to it.
+  /// cold, if all members send to it at times of their own.
   duration member_period(double flows_per_second) const;
 
  private:
--- a/src/forwarding/fleet_agent.cc
+++ b/src/forwarding/fleet_agent.cc
@@ -1,5 +1,7 @@
 #include "rosemarydrum/forwarding/fleet_agent.h"
 
+#include <utility>
+
 #include "rosemarydrum/runtime_clock.h"
 #include "rosemarydrum/spread/member_codec.h"
 
@@ -121,7 +123,7 @@
   const bool is_fresh_now = spread_.is_fresh(now);
   news.reconnected = is_fresh_now && !was_fresh_;
   was_fresh_ = is_fresh_now;
-  if (news.reconnected) {
+  if (news.reconnected && std::exchange(has_been_fresh_, true)) {
     lapses_until_ = now + lapse_grace;
   }
   for (const auto& item : fresh) {
--- a/src/forwarding/fleet_share.cc
+++ b/src/forwarding/fleet_share.cc
@@ -3,22 +3,23 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace rosemarydrum {
 namespace {
 
-/// Part of what a cold upstream bears that is handed out.
-constexpr double handed_out = 0.5;
+/// Parts of what a cold upstream bears that are handed out to its sponsors, who
+/// know that it is cold, and to all members, who do not and may meet.
+constexpr double sponsors_part = 0.45;
+constexpr double members_part = 0.2;
+/// A little more than the second over which flows are counted, for packets
+/// that are delayed on their way.
+constexpr duration counted_time = milliseconds(1100);
 
 std::uint64_t hash_of(const std::string& name) {
   return XXH3_64bits(name.data(), name.size());
 }
 
-duration period_of(double shares, double flows_per_second) {
-  const double rate = std::max(flows_per_second * handed_out, 0.01);
-  return duration(static_cast<duration::rep>(shares / rate * 1e6));
-}
-
 }  // namespace
 
 fleet_share::fleet_share(std::string self)
@@ -45,11 +46,15 @@
 }
 
 duration fleet_share::sponsor_period(double flows_per_second) {
-  return period_of(cold_sponsors, flows_per_second);
+  const auto each = std::floor(flows_per_second * sponsors_part /
+                               static_cast<double>(cold_sponsors));
+  return counted_time / static_cast<int>(std::max(each, 1.0));
 }
 
 duration fleet_share::member_period(double flows_per_second) const {
-  return period_of(static_cast<double>(others_.size()) + 1, flows_per_second);
+  const auto members = static_cast<double>(others_.size()) + 1;
+  const double rate = std::max(flows_per_second * members_part, 0.01);
+  return duration(static_cast<duration::rep>(members / rate * 1e6));
 }
 
 }  // namespace rosemarydrum
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -161,7 +161,18 @@
 
 bool placement::on_unanswered(upstream_index upstream, time_point sent,
                               time_point now) {
-  return of(upstream).health.on_unanswered(sent, now);
+  auto& loaded = of(upstream);
+  const bool became_silent = loaded.health.on_unanswered(sent, now);
+  if (became_silent) {
+    // All members notice at about the same time, and must not try it again at
+    // the same time.
+    const auto period = share_.member_period(settings_.cold_extra);
+    const auto part = static_cast<double>(random_() - random_.min()) /
+                      static_cast<double>(random_.max() - random_.min());
+    loaded.cold_flow_at = now - duration(static_cast<duration::rep>(
+                                    part * static_cast<double>(period.count())));
+  }
+  return became_silent;
 }
 
 void placement::on_record(upstream_index upstream) {
--- a/test/fleet/fake_callers.cc
+++ b/test/fleet/fake_callers.cc
@@ -28,8 +28,9 @@
   std::uint32_t echo = 0;
 };
 
-fake_callers::fake_callers(timeline& time, wiring to)
-    : time_(time), to_(std::move(to)) {}
+fake_callers::fake_callers(timeline& time, wiring to,
+                           std::uint32_t first_address)
+    : time_(time), to_(std::move(to)), first_address_(first_address) {}
 
 std::size_t fake_callers::request(const std::string& data_centre,
                                   const endpoint& service) {
@@ -45,7 +46,7 @@
 
 void fake_callers::start(std::shared_ptr<attempt> run) {
   const auto next = next_port_++;
-  run->flow = {{first_caller_address + next % caller_addresses,
+  run->flow = {{first_address_ + next % caller_addresses,
                 static_cast<std::uint16_t>(first_port + next % ports)},
                run->service};
   run->open = false;
--- a/test/fleet/fake_callers.h
+++ b/test/fleet/fake_callers.h
@@ -23,8 +23,6 @@
   std::string upstream;
 };
 
-/// Callers' addresses are this one and those that follow it.
-inline constexpr std::uint32_t first_caller_address = 0x7f000a01;
 inline constexpr std::uint32_t caller_addresses = 10;
 
 /// Callers by the platform's protocol: each request opens a flow, sends copies
@@ -39,7 +37,9 @@
         send;
   };
 
-  fake_callers(timeline& time, wiring to);
+  /// Callers have `caller_addresses` addresses from `first_address` on.
+  fake_callers(timeline& time, wiring to,
+               std::uint32_t first_address = 0x64400001);
 
   /// Returns the request's number in `outcomes`.
   std::size_t request(const std::string& data_centre,
@@ -65,6 +65,7 @@
   timeline& time_;
   wiring to_;
   std::map<flow_ends, std::shared_ptr<attempt>> attempts_;
+  std::uint32_t first_address_;
   std::size_t next_request_ = 0;
   std::uint32_t next_port_ = 0;
 };
--- a/test/fleet_share-test.cc
+++ b/test/fleet_share-test.cc
@@ -33,9 +33,9 @@
 BOOST_AUTO_TEST_CASE(two_views_of_the_fleet_stay_within_the_budget) {
   const double bears = 5;
   const auto period = fleet_share::sponsor_period(bears);
-  const double flows_per_second =
-      2.0 * cold_sponsors * 1e6 / static_cast<double>(period.count());
-  BOOST_CHECK_LE(flows_per_second, bears * 1.001);
+  // Within any second, also one that begins with a flow.
+  const auto in_a_second = 1 + (seconds(1) - microseconds(1)) / period;
+  BOOST_CHECK_LE(static_cast<double>(2 * cold_sponsors * in_a_second), bears);
 }
 
 // Guards against all members of a large fleet trying a silent upstream in the
@@ -48,7 +48,7 @@
   // A process that knows no other serves alone.
   fleet_share alone("node-0");
   BOOST_CHECK(alone.is_sponsor(upstream_key(1)));
-  BOOST_CHECK(alone.member_period(5) < seconds(1));
+  BOOST_CHECK(alone.member_period(5) <= seconds(1));
 }
 
 }  // namespace
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -383,13 +383,10 @@
 // Guards against an answer of an upstream that goes unnoticed after silence.
 BOOST_FIXTURE_TEST_CASE(silence_and_answers_are_told, fixture) {
   add(1);
-  for (std::uint16_t port = 1; port <= 2; ++port) {
-    open(port, at(100 * port));
-    tested.due_packets(false, at(100 * port + 60));
-  }
+  const auto opened = open(1, start);
+  tested.due_packets(false, at(60));
   BOOST_CHECK_EQUAL(seen.silent, 1);
-  const auto late = take({flow_of(2), ack, 8, 1, 1}, at(400));
-  BOOST_CHECK(late.fate == packet_fate::forward);
+  BOOST_CHECK(follow(1, opened, at(400)).fate == packet_fate::forward);
   BOOST_CHECK_EQUAL(seen.answers, 1);
 }
 
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -101,9 +101,10 @@
   for (int ms = 0; ms < 1000; ms += 5) {
     taken += choose(at(ms)) == upstream_key(1) ? 1 : 0;
   }
-  // Half of 1.5 x 30 + 5 is handed out, a third of it to this sponsor.
-  BOOST_CHECK_GE(taken, 7);
-  BOOST_CHECK_LE(taken, 9);
+  // 1.5 x 30 + 5, of which two views of the fleet with two sponsors each may be
+  // at work.
+  BOOST_CHECK_GE(taken, 9);
+  BOOST_CHECK_LE(taken, 50 / (2 * static_cast<int>(cold_sponsors)));
 }
 
 // Guards against flows at an upstream that does not answer, and against one
--- a/test/soak/soak_fleet.cc
+++ b/test/soak/soak_fleet.cc
@@ -1,5 +1,7 @@
 #include "soak/soak_fleet.h"
 
+#include <unistd.h>
+
 #include <boost/json/parse.hpp>
 #include <csignal>
 
@@ -26,8 +28,21 @@
 const endpoint first_route{0xc6120001, 443};
 const endpoint second_route{0xc6120002, 443};
 
+/// Groups of addresses.
+constexpr int forwarder_group = 1;
+constexpr int upstream_group = 2;
+constexpr int caller_group = 3;
+
+/// Runs at the same time use different addresses.
 std::string loopback(int group, int number) {
-  return "127.0." + std::to_string(group) + "." + std::to_string(number);
+  constexpr int networks = 250;
+  static const int network = 2 + getpid() % networks;
+  return "127." + std::to_string(network) + "." + std::to_string(group) + "." +
+         std::to_string(number);
+}
+
+std::uint32_t caller_address(std::uint32_t number) {
+  return *parse_ipv4(loopback(caller_group, 1)) + number;
 }
 
 }  // namespace
@@ -48,16 +63,18 @@
       server_(io, store, time),
       data_port_(free_port()),
       upstream_port_(free_port()),
-      sender_(io, udp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+      sender_(io, udp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      load_random_(settings_.seed) {
   callers = std::make_unique<fake_callers>(
       time, fake_callers::wiring{[this](const auto& centre, const auto& flow,
                                         const auto& datagram) {
         send_packet(centre, flow, datagram);
-      }});
+      }},
+      caller_address(0));
   // Resets come to the callers' addresses at the forwarders' data port.
   for (std::uint32_t i = 0; i < caller_addresses; ++i) {
     receivers_.push_back(std::make_unique<receiver>(udp::socket(
-        io, to_udp({first_caller_address + i, data_port_}))));
+        io, to_udp({caller_address(i), data_port_}))));
     receive(*receivers_.back());
   }
   for (int i = 0; i < settings_.data_centres; ++i) {
@@ -74,7 +91,7 @@
       auto node = std::make_unique<forwarder_process>();
       node->name = "node-" + std::to_string(number);
       node->data_centre = centre;
-      node->address = loopback(1, number++);
+      node->address = loopback(forwarder_group, number++);
       node->store =
           std::make_unique<fault_proxy>(io, time, server_.address());
       nodes.push_back(std::move(node));
@@ -92,7 +109,7 @@
   // The ports after it are used as well; they are free on the forwarders'
   // addresses, which nobody else uses.
   const udp::socket probe(
-      io_, udp::endpoint(asio::ip::make_address_v4(loopback(1, 1)), 0));
+      io_, udp::endpoint(asio::ip::make_address_v4(loopback(forwarder_group, 1)), 0));
   return static_cast<std::uint16_t>(
       std::min<int>(probe.local_endpoint().port(), 65'000));
 }
@@ -181,7 +198,7 @@
   std::snprintf(digits, sizeof digits, "%010llx",
                 static_cast<unsigned long long>(random() & 0xffffffffff));
   const auto address =
-      loopback(2, number) + ":" + std::to_string(upstream_port_);
+      loopback(upstream_group, number) + ":" + std::to_string(upstream_port_);
   auto& upstream = upstreams[digits];
   upstream = std::make_unique<fake_upstream>(
       digits, platform_texts::entry{.service = service,
@@ -312,11 +329,11 @@
   if (!loading_) {
     return;
   }
-  const auto& centre = data_centres[random() % data_centres.size()];
-  callers->request(centre, random() % second_route_share == 0 ? second_route
+  const auto& centre = data_centres[load_random_() % data_centres.size()];
+  callers->request(centre, load_random_() % second_route_share == 0 ? second_route
                                                               : first_route);
   std::exponential_distribution<double> gap(settings_.requests_per_second);
-  time.after(duration(static_cast<duration::rep>(gap(random) * 1e6)),
+  time.after(duration(static_cast<duration::rep>(gap(load_random_) * 1e6)),
              [this] { next_request(); });
 }
 
--- a/test/soak/soak_fleet.h
+++ b/test/soak/soak_fleet.h
@@ -67,6 +67,7 @@
   std::size_t unserved(time_point from, time_point to) const;
 
   live_timeline time;
+  /// For faults only, so that a seed strikes the same ones again.
   std::mt19937_64 random;
   fake_kv_store store{[] { return runtime_clock::now(); }};
   promises checks;
@@ -105,6 +106,7 @@
   /// Upstreams of open flows, as they have answered.
   std::map<flow_ends, std::string> owners_;
   platform::packet_codec codec_;
+  std::mt19937_64 load_random_;
   int next_upstream_ = 1;
   bool loading_ = false;
 };
