--- a/apps/forwarder/data_loop.cc
+++ b/apps/forwarder/data_loop.cc
@@ -12,8 +12,8 @@
 
 constexpr std::size_t max_datagram = 2048;
 constexpr int max_batch = 64;
-constexpr milliseconds tick_interval{50};
-constexpr milliseconds sweep_interval{200};
+constexpr milliseconds tick_interval{100};
+constexpr milliseconds sweep_interval{300};
 constexpr milliseconds report_interval{1000};
 /// A timer that runs this late shows that the thread has not run for a while.
 constexpr milliseconds stall_time{400};
--- a/src/settings/settings_table.cc
+++ b/src/settings/settings_table.cc
@@ -87,7 +87,7 @@
      false, false, "Flows that a cold upstream bears beyond that."},
     {"log-level", forwarder, choice, "", 0, 0, "info|warning|error", "info",
      false, false, "Least severity of the events that are logged."},
-    {"log-flows", forwarder, number, "lines a second", 0, 100'000, "", "20",
+    {"log-flows", forwarder, number, "lines a second", 0, 100'000, "", "200",
      false, false,
      "Lines about flows that were served; what is left out is counted."},
 };
