--- a/apps/command/explain_command.cc
+++ b/apps/command/explain_command.cc
@@ -28,8 +28,8 @@
     }
     auto content = read_log(stream);
     if (content.other_lines > 0) {
-      answer.notes.push_back(std::to_string(content.other_lines) + " lines of " +
-                             file + " are no events");
+      answer.notes.push_back(std::to_string(content.other_lines) +
+                             " lines of " + file + " are no events");
     }
     log.insert(log.end(), std::make_move_iterator(content.events.begin()),
                std::make_move_iterator(content.events.end()));
--- a/apps/command/explanation.cc
+++ b/apps/command/explanation.cc
@@ -18,12 +18,23 @@
     "upstream_silent", "upstream_answers"};
 /// Events of a process that explain how it decided.
 constexpr std::array<std::string_view, 17> process_events{
-    "process_started",       "process_ready",         "process_stalled",
-    "ready_changed",         "shutdown_started",      "shutdown_finished",
-    "settings_reloaded",     "store_lost",            "store_back",
-    "store_reading_started", "store_reading_stopped", "knowledge_stale",
-    "knowledge_fresh",       "service_unable",        "service_able",
-    "data_centre_out",       "data_centre_in"};
+    "process_started",
+    "process_ready",
+    "process_stalled",
+    "ready_changed",
+    "shutdown_started",
+    "shutdown_finished",
+    "settings_reloaded",
+    "store_lost",
+    "store_back",
+    "store_reading_started",
+    "store_reading_stopped",
+    "knowledge_stale",
+    "knowledge_fresh",
+    "service_unable",
+    "service_able",
+    "data_centre_out",
+    "data_centre_in"};
 
 template <typename List>
 bool contains(const List& list, std::string_view name) {
@@ -42,7 +53,8 @@
   bool empty() const { return flows.empty(); }
 };
 
-bool is_about_flow(const logged_event& event, const std::set<std::string>& all) {
+bool is_about_flow(const logged_event& event,
+                   const std::set<std::string>& all) {
   return all.contains(event.text("flow")) &&
          !contains(upstream_events, event.name);
 }
@@ -156,9 +168,9 @@
     if (!is_about_flow(event, chosen.flows)) {
       continue;
     }
-    const auto* found = std::find_if(
-        std::begin(sentences), std::end(sentences),
-        [&](const auto& each) { return each.name == event.name; });
+    const auto* found =
+        std::find_if(std::begin(sentences), std::end(sentences),
+                     [&](const auto& each) { return each.name == event.name; });
     if (found != std::end(sentences)) {
       findings.push_back(event.node + ", flow " + event.text("flow") + ": " +
                          found->say(event));
@@ -227,8 +239,8 @@
     bool certain = true;
     if (!result.events.empty()) {
       const auto& before = result.events.back().event;
-      certain = before.run == event.run ||
-                before.logical_time < event.logical_time;
+      certain =
+          before.run == event.run || before.logical_time < event.logical_time;
     }
     result.events.push_back({std::move(event), certain});
   }
--- a/apps/forwarder/control_loop.cc
+++ b/apps/forwarder/control_loop.cc
@@ -111,8 +111,8 @@
   journal_.on_readiness(is_ready(), unready_reason(), now);
   if (now >= next_summary_) {
     next_summary_ = now + summary_interval;
-    journal_.on_summary(agent_.spread().members().size(),
-                        report_.metrics.flows, now);
+    journal_.on_summary(agent_.spread().members().size(), report_.metrics.flows,
+                        now);
   }
 }
 
@@ -164,28 +164,27 @@
 
 void control_loop::fetch(const endpoint& member, fetch_kind kind,
                          revision after) {
-  auto target = std::string(kind == fetch_kind::removed ? removed_target
-                                                        : items_target);
+  auto target =
+      std::string(kind == fetch_kind::removed ? removed_target : items_target);
   if (kind == fetch_kind::newer) {
     target += std::to_string(value_of(after));
   }
   fetching_ = std::make_shared<http_connection>(context_, to_tcp(member));
-  fetching_->call(
-      {http::verb::get, std::move(target), {}, fetch_deadline},
-      [this, member](const http_answer& answer) {
-        const bytes_view body(
-            reinterpret_cast<const std::uint8_t*>(answer.body.data()),
-            answer.body.size());
-        if (answer.status != 200) {
-          return;
-        }
-        if (const auto message = decode_spread_message(body)) {
-          clock_.witness(message->logical_time);
-          agent_.on_message(member, *message, runtime_clock::now());
-        } else {
-          ++metrics_.messages_malformed;
-        }
-      });
+  fetching_->call({http::verb::get, std::move(target), {}, fetch_deadline},
+                  [this, member](const http_answer& answer) {
+                    const bytes_view body(reinterpret_cast<const std::uint8_t*>(
+                                              answer.body.data()),
+                                          answer.body.size());
+                    if (answer.status != 200) {
+                      return;
+                    }
+                    if (const auto message = decode_spread_message(body)) {
+                      clock_.witness(message->logical_time);
+                      agent_.on_message(member, *message, runtime_clock::now());
+                    } else {
+                      ++metrics_.messages_malformed;
+                    }
+                  });
 }
 
 void control_loop::update(fleet_update news) {
--- a/apps/forwarder/control_loop.h
+++ b/apps/forwarder/control_loop.h
@@ -30,8 +30,7 @@
 
   control_loop(boost::asio::io_context& context, sockets bound, kv_store& store,
                const fleet_schema& schema, const spread_settings& settings,
-               forwarder_rings& joined, event_logger log,
-               logical_clock& clock);
+               forwarder_rings& joined, event_logger log, logical_clock& clock);
 
   void start();
   /// A planned stop: not ready any more, and other members take over.
--- a/src/forwarding/handshake_health.cc
+++ b/src/forwarding/handshake_health.cc
@@ -24,9 +24,9 @@
   ++unanswered_;
   avoided_until_ = std::max(
       avoided_until_, now + std::min<duration>(avoidance, longest_avoidance));
-  const bool was_silent = std::exchange(
-      silent_, silent_ || unanswered_ >= silent_handshakes ||
-                   now - answered_ > recent_answer);
+  const bool was_silent =
+      std::exchange(silent_, silent_ || unanswered_ >= silent_handshakes ||
+                                 now - answered_ > recent_answer);
   return !was_silent && silent_;
 }
 
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -169,8 +169,9 @@
     const auto period = share_.member_period(settings_.cold_extra);
     const auto part = static_cast<double>(random_() - random_.min()) /
                       static_cast<double>(random_.max() - random_.min());
-    loaded.cold_flow_at = now - duration(static_cast<duration::rep>(
-                                    part * static_cast<double>(period.count())));
+    loaded.cold_flow_at =
+        now - duration(static_cast<duration::rep>(
+                  part * static_cast<double>(period.count())));
   }
   return became_silent;
 }
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -346,8 +346,7 @@
 }
 
 duration replica_spread::takeover_age() const {
-  const auto place =
-      static_cast<int>(std::min(rank(), last_takeover_rank));
+  const auto place = static_cast<int>(std::min(rank(), last_takeover_rank));
   return settings_.longest_age *
          (read_age_percent + takeover_step_percent * place) / 100;
 }
--- a/test/fleet/fake_callers.h
+++ b/test/fleet/fake_callers.h
@@ -42,8 +42,7 @@
                std::uint32_t first_address = 0x64400001);
 
   /// Returns the request's number in `outcomes`.
-  std::size_t request(const std::string& data_centre,
-                      const endpoint& service);
+  std::size_t request(const std::string& data_centre, const endpoint& service);
   void on_answer(const upstream_answer& answer);
   /// A reset of the system.
   void on_reset(const flow_ends& flow);
--- a/test/fleet/fake_kv_store.h
+++ b/test/fleet/fake_kv_store.h
@@ -279,8 +279,8 @@
         done(failed<Result>(error_kind::store_unavailable));
       });
     } else if (fault == store_fault::silent) {
-      time_.after(
-          deadline, [done] { done(failed<Result>(error_kind::timed_out)); });
+      time_.after(deadline,
+                  [done] { done(failed<Result>(error_kind::timed_out)); });
     }
     return fault == store_fault::refuses || fault == store_fault::silent;
   }
@@ -290,8 +290,8 @@
     if (fault == store_fault::none) {
       time_.after(latency, [done, result] { done(result); });
     } else {
-      time_.after(
-          deadline, [done] { done(failed<Result>(error_kind::timed_out)); });
+      time_.after(deadline,
+                  [done] { done(failed<Result>(error_kind::timed_out)); });
     }
   }
 
--- a/test/fleet/fleet_world.cc
+++ b/test/fleet/fleet_world.cc
@@ -16,9 +16,8 @@
 }  // namespace
 
 fleet_world::fleet_world(const std::vector<std::string>& data_centres)
-    : callers(clock,
-              {[this](const auto& centre, const auto& flow,
-                      const auto& datagram) {
+    : callers(clock, {[this](const auto& centre, const auto& flow,
+                             const auto& datagram) {
                 send_packet(centre, flow, datagram);
               }}),
       data_centres_(data_centres) {
@@ -301,10 +300,11 @@
 }
 
 std::size_t fleet_world::late(duration bound) const {
-  return static_cast<std::size_t>(std::count_if(
-      callers.outcomes.begin(), callers.outcomes.end(), [bound](const auto& each) {
-        return each.second.served && each.second.took > bound;
-      }));
+  return static_cast<std::size_t>(
+      std::count_if(callers.outcomes.begin(), callers.outcomes.end(),
+                    [bound](const auto& each) {
+                      return each.second.served && each.second.took > bound;
+                    }));
 }
 
 int fleet_world::store_calls() const {
--- a/test/fleet/test_node.h
+++ b/test/fleet/test_node.h
@@ -25,8 +25,7 @@
   };
 
   test_node(member_record self, fake_kv_store& store, scheduler& time,
-            wiring to,
-            milliseconds longest_age = milliseconds(3000))
+            wiring to, milliseconds longest_age = milliseconds(3000))
       : record(self),
         client(store, time),
         to_(std::move(to)),
--- a/test/soak/fault_proxy.cc
+++ b/test/soak/fault_proxy.cc
@@ -54,7 +54,8 @@
             self->pass(from, to, bytes, is_answer);
           } else if (self->owner_.fault_ == link_fault::delayed) {
             self->owner_.time_.after(
-                self->owner_.delay, [self, &from, &to, &bytes, is_answer, size] {
+                self->owner_.delay,
+                [self, &from, &to, &bytes, is_answer, size] {
                   self->write(from, to, bytes, is_answer, size);
                 });
           } else {
@@ -113,24 +114,23 @@
 }
 
 void fault_proxy::accept() {
-  acceptor_.async_accept(
-      [this](const boost::system::error_code& error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted) {
-          return;
-        }
-        connections_.remove_if([](const auto& each) { return each.expired(); });
-        if (!error) {
-          const auto open =
-              std::make_shared<connection>(*this, std::move(socket));
-          connections_.push_back(open);
-          if (fault_ == link_fault::reset) {
-            open->reset();
-          } else {
-            open->start();
-          }
-        }
-        accept();
-      });
+  acceptor_.async_accept([this](const boost::system::error_code& error,
+                                tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) {
+      return;
+    }
+    connections_.remove_if([](const auto& each) { return each.expired(); });
+    if (!error) {
+      const auto open = std::make_shared<connection>(*this, std::move(socket));
+      connections_.push_back(open);
+      if (fault_ == link_fault::reset) {
+        open->reset();
+      } else {
+        open->start();
+      }
+    }
+    accept();
+  });
 }
 
 }  // namespace rosemarydrum
--- a/test/soak/kv_server.cc
+++ b/test/soak/kv_server.cc
@@ -41,9 +41,8 @@
 
 json::object object_of(const kv_item& item) {
   if (item.removed) {
-    return {{"Key", item.key},
-            {"Rev", value_of(item.changed)},
-            {"Removed", true}};
+    return {
+        {"Key", item.key}, {"Rev", value_of(item.changed)}, {"Removed", true}};
   }
   return {{"Key", item.key},
           {"Value", base64(item.value)},
@@ -83,9 +82,7 @@
 
   std::uint64_t number(const std::string& name) const {
     const auto found = query.find(name);
-    return found == query.end()
-               ? 0
-               : parse_number(found->second).value_or(0);
+    return found == query.end() ? 0 : parse_number(found->second).value_or(0);
   }
   std::string text(const std::string& name) const {
     const auto found = query.find(name);
@@ -105,14 +102,13 @@
 
   void read() {
     request_ = {};
-    http::async_read(
-        stream_, buffer_, request_,
-        [self = shared_from_this()](const boost::system::error_code& error,
-                                    std::size_t) {
-          if (!error) {
-            self->handle();
-          }
-        });
+    http::async_read(stream_, buffer_, request_,
+                     [self = shared_from_this()](
+                         const boost::system::error_code& error, std::size_t) {
+                       if (!error) {
+                         self->handle();
+                       }
+                     });
   }
 
  private:
@@ -219,14 +215,13 @@
     response_.set(http::field::content_type, "application/json");
     response_.body() = json::serialize(given.body);
     response_.prepare_payload();
-    http::async_write(
-        stream_, response_,
-        [self = shared_from_this()](const boost::system::error_code& error,
-                                    std::size_t) {
-          if (!error) {
-            self->read();
-          }
-        });
+    http::async_write(stream_, response_,
+                      [self = shared_from_this()](
+                          const boost::system::error_code& error, std::size_t) {
+                        if (!error) {
+                          self->read();
+                        }
+                      });
   }
 
   boost::beast::tcp_stream stream_;
--- a/test/soak/promises.cc
+++ b/test/soak/promises.cc
@@ -32,16 +32,15 @@
 
 bool promises::is_in_touch(const std::string& node, time_point now) const {
   const auto found = disturbed_until_.find(node);
-  const auto until = std::max(all_disturbed_until_,
-                              found == disturbed_until_.end() ? time_point{}
-                                                              : found->second);
+  const auto until =
+      std::max(all_disturbed_until_,
+               found == disturbed_until_.end() ? time_point{} : found->second);
   return until == time_point{} || now - until >= stability;
 }
 
 bool promises::is_calm(const std::string& upstream, time_point now) const {
   const auto found = upstream_disturbed_.find(upstream);
-  return found == upstream_disturbed_.end() ||
-         now - found->second >= stability;
+  return found == upstream_disturbed_.end() || now - found->second >= stability;
 }
 
 void promises::on_route(const endpoint& address, const std::string& service,
@@ -142,16 +141,16 @@
                          const std::string& owner, const flow_ends& flow,
                          time_point now) {
   if (owner != upstream.id && is_calm(owner, now)) {
-    fail("FLOW", to_string(flow.caller) + " of " + owner + " reached " +
-                     upstream.id);
+    fail("FLOW",
+         to_string(flow.caller) + " of " + owner + " reached " + upstream.id);
   }
 }
 
 void promises::on_reset(const flow_ends& flow, const std::string& owner,
                         time_point now) {
   const auto found = routes_.find(flow.service);
-  const bool is_routed = found != routes_.end() &&
-                         !found->second.back().service.empty();
+  const bool is_routed =
+      found != routes_.end() && !found->second.back().service.empty();
   if (!owner.empty() && is_routed && is_calm(owner, now)) {
     fail("FLOW", to_string(flow.caller) + " open at " + owner + " was reset");
   }
--- a/test/soak/soak-main.cc
+++ b/test/soak/soak-main.cc
@@ -40,9 +40,9 @@
 
  private:
   void strike_next() {
-    const auto gap = least_gap_ms +
-                     static_cast<int>(fleet_.random() %
-                                      (most_gap_ms - least_gap_ms));
+    const auto gap =
+        least_gap_ms +
+        static_cast<int>(fleet_.random() % (most_gap_ms - least_gap_ms));
     fleet_.time.after(milliseconds(gap), [this] {
       const auto now = fleet_.time.now();
       if (now >= end_) {
--- a/test/soak/soak_faults.cc
+++ b/test/soak/soak_faults.cc
@@ -97,8 +97,7 @@
   for (auto& node : fleet.nodes) {
     if (all || fleet.random() % 3 == 0) {
       node->store->set(fault);
-      fleet.time.after(time,
-                       [&node] { node->store->set(link_fault::none); });
+      fleet.time.after(time, [&node] { node->store->set(link_fault::none); });
     }
   }
   fleet.checks.disturb_all(fleet.time.now() + time);
--- a/test/soak/soak_fleet.cc
+++ b/test/soak/soak_fleet.cc
@@ -66,15 +66,16 @@
       sender_(io, udp::endpoint(asio::ip::address_v4::loopback(), 0)),
       load_random_(settings_.seed) {
   callers = std::make_unique<fake_callers>(
-      time, fake_callers::wiring{[this](const auto& centre, const auto& flow,
-                                        const auto& datagram) {
-        send_packet(centre, flow, datagram);
-      }},
+      time,
+      fake_callers::wiring{
+          [this](const auto& centre, const auto& flow, const auto& datagram) {
+            send_packet(centre, flow, datagram);
+          }},
       caller_address(0));
   // Resets come to the callers' addresses at the forwarders' data port.
   for (std::uint32_t i = 0; i < caller_addresses; ++i) {
-    receivers_.push_back(std::make_unique<receiver>(udp::socket(
-        io, to_udp({caller_address(i), data_port_}))));
+    receivers_.push_back(std::make_unique<receiver>(
+        udp::socket(io, to_udp({caller_address(i), data_port_}))));
     receive(*receivers_.back());
   }
   for (int i = 0; i < settings_.data_centres; ++i) {
@@ -92,8 +93,7 @@
       node->name = "node-" + std::to_string(number);
       node->data_centre = centre;
       node->address = loopback(forwarder_group, number++);
-      node->store =
-          std::make_unique<fault_proxy>(io, time, server_.address());
+      node->store = std::make_unique<fault_proxy>(io, time, server_.address());
       nodes.push_back(std::move(node));
     }
   }
@@ -109,7 +109,8 @@
   // The ports after it are used as well; they are free on the forwarders'
   // addresses, which nobody else uses.
   const udp::socket probe(
-      io_, udp::endpoint(asio::ip::make_address_v4(loopback(forwarder_group, 1)), 0));
+      io_, udp::endpoint(
+               asio::ip::make_address_v4(loopback(forwarder_group, 1)), 0));
   return static_cast<std::uint16_t>(
       std::min<int>(probe.local_endpoint().port(), 65'000));
 }
@@ -142,16 +143,16 @@
       io_, asio::ip::tcp::endpoint(
                asio::ip::make_address_v4(node.address),
                static_cast<std::uint16_t>(data_port_ + ready_offset)));
-  node.checks->call({http::verb::get, "/v1/ready", {}, check_deadline},
-                    [&node](const http_answer& answer) {
-                      if (answer.status == 200) {
-                        node.in_rotation = true;
-                        node.missed_checks = 0;
-                      } else if (++node.missed_checks >=
-                                 misses_out_of_rotation) {
-                        node.in_rotation = false;
-                      }
-                    });
+  node.checks->call(
+      {http::verb::get, "/v1/ready", {}, check_deadline},
+      [&node](const http_answer& answer) {
+        if (answer.status == 200) {
+          node.in_rotation = true;
+          node.missed_checks = 0;
+        } else if (++node.missed_checks >= misses_out_of_rotation) {
+          node.in_rotation = false;
+        }
+      });
   time.after(check_interval, [this, &node] { check_ready(node); });
 }
 
@@ -206,8 +207,8 @@
                                     .zone = zone,
                                     .cold_ms = cold_ms});
   upstream->work = milliseconds(request_work_ms);
-  receivers_.push_back(std::make_unique<receiver>(udp::socket(
-      io_, to_udp(*parse_endpoint(address)))));
+  receivers_.push_back(std::make_unique<receiver>(
+      udp::socket(io_, to_udp(*parse_endpoint(address)))));
   receivers_.back()->upstream = upstream.get();
   receive(*receivers_.back());
   if (cold_ms > 0) {
@@ -256,8 +257,8 @@
               at.buffer.begin(),
               at.buffer.begin() + static_cast<std::ptrdiff_t>(size));
           if (at.upstream != nullptr) {
-            on_upstream_datagram(*at.upstream,
-                                 at.from.address().to_string(), datagram);
+            on_upstream_datagram(*at.upstream, at.from.address().to_string(),
+                                 datagram);
           } else {
             on_caller_datagram(datagram);
           }
@@ -330,8 +331,9 @@
     return;
   }
   const auto& centre = data_centres[load_random_() % data_centres.size()];
-  callers->request(centre, load_random_() % second_route_share == 0 ? second_route
-                                                              : first_route);
+  callers->request(centre, load_random_() % second_route_share == 0
+                               ? second_route
+                               : first_route);
   std::exponential_distribution<double> gap(settings_.requests_per_second);
   time.after(duration(static_cast<duration::rep>(gap(load_random_) * 1e6)),
              [this] { next_request(); });
