Bound what forwarders send each other about the store

Cause: in a trial with 300 machines and 3,000 upstreams (byte counters added), 2,198 of 3,058 fetches between members failed: an answer held up to 600 KB, its deadline of 1.5 s passed on links of 10 Mbit/s, and the asker began anew every 500 ms while the former answer was still under way. A question of one datagram was answered with up to a thousand, half of them to other data centres. Also, the first of several datagrams, and a fetch of removed items, confirmed all that the sender knew although they showed a part. Change: answers of more than four datagrams are left to a connection; what is fetched comes in pages of 64 KiB, one at a time; messages say apart what the sender knows and up to where they show it, and only the former confirms. Counters of fetches.

--- a/apps/forwarder/control_loop.cc
+++ b/apps/forwarder/control_loop.cc
@@ -162,29 +162,30 @@
   }
 }
 
-void control_loop::fetch(const endpoint& member, fetch_kind kind,
-                         revision after) {
+void control_loop::fetch(const fetch_request& request) {
   auto target =
-      std::string(kind == fetch_kind::removed ? removed_target : items_target);
-  if (kind == fetch_kind::newer) {
-    target += std::to_string(value_of(after));
-  }
-  fetching_ = std::make_shared<http_connection>(context_, to_tcp(member));
+      request.kind == fetch_kind::removed
+          ? std::string(removed_target)
+          : std::string(items_target) + std::to_string(value_of(request.after));
+  fetching_ = std::make_shared<http_connection>(context_, to_tcp(request.from));
   fetching_->call({http::verb::get, std::move(target), {}, fetch_deadline},
-                  [this, member](const http_answer& answer) {
-                    const bytes_view body(reinterpret_cast<const std::uint8_t*>(
-                                              answer.body.data()),
-                                          answer.body.size());
-                    if (answer.status != 200) {
-                      return;
-                    }
-                    if (const auto message = decode_spread_message(body)) {
-                      clock_.witness(message->logical_time);
-                      agent_.on_message(member, *message, runtime_clock::now());
-                    } else {
-                      ++metrics_.messages_malformed;
-                    }
-                  });
+                  [this](const http_answer& answer) { on_fetched(answer); });
+}
+
+void control_loop::on_fetched(const http_answer& answer) {
+  std::optional<spread_message> message;
+  if (answer.status == static_cast<unsigned>(http::status::ok)) {
+    message = decode_spread_message(
+        {reinterpret_cast<const std::uint8_t*>(answer.body.data()),
+         answer.body.size()});
+    ++(message ? metrics_.fetches : metrics_.messages_malformed);
+  } else {
+    ++metrics_.fetches_failed;
+  }
+  if (message) {
+    clock_.witness(message->logical_time);
+  }
+  agent_.on_fetched(message, runtime_clock::now());
 }
 
 void control_loop::update(fleet_update news) {
@@ -221,7 +222,7 @@
     return std::nullopt;
   }
   const auto after = parse_number(target.substr(items_target.size()));
-  return after ? std::optional(agent_.everything_after(revision(*after), now))
+  return after ? std::optional(agent_.changes_after(revision(*after), now))
                : std::nullopt;
 }
 
--- a/apps/forwarder/control_loop.h
+++ b/apps/forwarder/control_loop.h
@@ -50,7 +50,8 @@
 
  private:
   void send(const spread_datagram& datagram) override;
-  void fetch(const endpoint& member, fetch_kind kind, revision after) override;
+  void fetch(const fetch_request& request) override;
+  void on_fetched(const http_answer& answer);
   void update(fleet_update news) override;
   void on_change(const fleet_change& change, time_point now) override;
   void on_rejected(revision changed, time_point now) override;
--- a/apps/forwarder/metrics_text.cc
+++ b/apps/forwarder/metrics_text.cc
@@ -18,6 +18,8 @@
   page.counter("peer_messages_received", control.messages_received);
   page.counter("peer_messages_malformed", control.messages_malformed);
   page.counter("peer_sends_failed", control.sends_failed);
+  page.counter("peer_fetches", control.fetches);
+  page.counter("peer_fetches_failed", control.fetches_failed);
   page.counter("log_lines_dropped", control.log_lines_dropped);
 }
 
--- a/include/rosemarydrum/forwarding/fleet_agent.h
+++ b/include/rosemarydrum/forwarding/fleet_agent.h
@@ -27,10 +27,9 @@
 
   /// Sends a message to several members; it may be lost.
   virtual void send(const spread_datagram& datagram) = 0;
-  /// Gets `everything_after(after)` or `everything_removed()` from a member
-  /// over a connection and passes it to `on_message`.
-  virtual void fetch(const endpoint& member, fetch_kind kind,
-                     revision after) = 0;
+  /// Gets `changes_after()` or `everything_removed()` from a member over a
+  /// connection. Each call leads to one of `on_fetched`.
+  virtual void fetch(const fetch_request& request) = 0;
   /// Passes on what the forwarder must know.
   virtual void update(fleet_update news) = 0;
 
@@ -48,12 +47,15 @@
 class fleet_agent {
  public:
   fleet_agent(kv_store& store, const fleet_schema& schema,
-              spread_settings settings, fleet_agent_host& host, time_point now);
+              const spread_settings& settings, fleet_agent_host& host,
+              time_point now);
 
   /// Call about every 50 ms.
   void tick(time_point now);
   void on_message(const endpoint& from, const spread_message& message,
                   time_point now);
+  /// A fetch has ended; nullopt if it has failed.
+  void on_fetched(const std::optional<spread_message>& answer, time_point now);
   /// The process has not run for a while; messages that waited are old.
   void on_stall(time_point now);
   /// A planned stop: other members take over.
@@ -61,7 +63,7 @@
   void configure(std::vector<endpoint> seeds, milliseconds longest_age);
 
   /// For a member that asks for it over a connection.
-  spread_message everything_after(revision after, time_point now) const;
+  spread_message changes_after(revision after, time_point now) const;
   spread_message everything_removed(time_point now) const;
 
   /// The operators' version in force; 0 before there is one.
--- a/include/rosemarydrum/forwarding/fleet_share.h
+++ b/include/rosemarydrum/forwarding/fleet_share.h
@@ -20,7 +20,7 @@
   explicit fleet_share(std::string self);
 
   /// All members, self included.
-  void set_members(std::vector<std::string> names);
+  void set_members(const std::vector<std::string>& names);
 
   /// Whether this member is one of the sponsors of a cold upstream: those with
   /// the highest rendezvous weights.
--- a/schema/spread.capnp
+++ b/schema/spread.capnp
@@ -26,6 +26,8 @@
       after @6 :UInt64;
       ageMs @7 :UInt32;
       items @8 :List(StoreItem);
+      # Revision up to which the items are complete; `at` may be later.
+      shownAt @11 :UInt64;
     }
     inquiry @9 :Void;
   }
--- a/src/forwarding/fleet_agent.cc
+++ b/src/forwarding/fleet_agent.cc
@@ -21,8 +21,8 @@
 }  // namespace
 
 fleet_agent::fleet_agent(kv_store& store, const fleet_schema& schema,
-                         spread_settings settings, fleet_agent_host& host,
-                         time_point now)
+                         const spread_settings& settings,
+                         fleet_agent_host& host, time_point now)
     : schema_(schema),
       host_(host),
       replica_(removal_memory),
@@ -78,6 +78,13 @@
   carry_out(out);
 }
 
+void fleet_agent::on_fetched(const std::optional<spread_message>& answer,
+                             time_point now) {
+  spread_output out;
+  spread_.on_fetched(answer, now, out);
+  carry_out(out);
+}
+
 void fleet_agent::on_stall(time_point now) { spread_.on_stall(now); }
 
 void fleet_agent::leave(time_point now) {
@@ -91,9 +98,9 @@
   spread_.configure(std::move(seeds), longest_age);
 }
 
-spread_message fleet_agent::everything_after(revision after,
-                                             time_point now) const {
-  return spread_.everything_after(after, now);
+spread_message fleet_agent::changes_after(revision after,
+                                          time_point now) const {
+  return spread_.changes_after(after, now);
 }
 
 spread_message fleet_agent::everything_removed(time_point now) const {
@@ -112,8 +119,8 @@
   for (const auto& datagram : out.datagrams) {
     host_.send(datagram);
   }
-  if (out.fetch_from) {
-    host_.fetch(*out.fetch_from, out.fetch, out.fetch_after);
+  if (out.fetch) {
+    host_.fetch(*out.fetch);
   }
   pass_on(out.fresh, runtime_clock::now());
 }
--- a/src/forwarding/fleet_share.cc
+++ b/src/forwarding/fleet_share.cc
@@ -25,7 +25,7 @@
 fleet_share::fleet_share(std::string self)
     : self_(std::move(self)), own_(hash_of(self_)) {}
 
-void fleet_share::set_members(std::vector<std::string> names) {
+void fleet_share::set_members(const std::vector<std::string>& names) {
   others_.clear();
   for (const auto& name : names) {
     if (name != self_) {
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -1,23 +1,15 @@
 #include "rosemarydrum/spread/replica_spread.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
+#include "listing_parts.h"
 #include "rosemarydrum/spread/member_codec.h"
 
 namespace rosemarydrum {
 namespace {
 
 constexpr milliseconds bulletin_interval{300};
-/// A reader has stopped if no bulletin of it has come for this long.
-constexpr milliseconds reader_timeout{700};
-/// Ages of what is known, in percent of the longest. A reader's is younger than
-/// the first; members take over one after the other, by rank.
-constexpr int read_age_percent = 38;
-constexpr int takeover_step_percent = 5;
-constexpr std::size_t last_takeover_rank = 8;
 /// Peers are asked for a value that the store has not given for this long.
 constexpr milliseconds missing_patience{400};
 constexpr milliseconds inquiry_interval{300};
@@ -27,40 +19,10 @@
 constexpr milliseconds join_time{600};
 /// Messages that waited while the process did not run are read by then.
 constexpr milliseconds stall_drain{100};
-/// A member that has left takes part again with its next start.
-constexpr seconds leaving_memory{30};
-/// Items that are longer are read from the store by each member.
-constexpr std::size_t longest_inline_value = 900;
-
-/// Splits a listing into parts that fit a datagram. All but the last end at the
-/// revision of their last item.
-std::vector<item_listing> parts_of(item_listing listing) {
-  std::vector<item_listing> parts;
-  item_listing part;
-  part.after = listing.after;
-  std::size_t size = 0;
-  for (auto& item : listing.items) {
-    if (item.value.size() > longest_inline_value) {
-      item.value.clear();
-      item.omitted = true;
-    }
-    const auto bytes = item.key.size() + item.value.size() + 24;
-    if (size > 0 && size + bytes > max_spread_datagram - 100 &&
-        item.changed > part.items.back().changed) {
-      part.at = part.items.back().changed;
-      const auto end = part.at;
-      parts.push_back(std::move(part));
-      part = {};
-      part.after = end;
-      size = 0;
-    }
-    size += bytes;
-    part.items.push_back(std::move(item));
-  }
-  part.at = listing.at;
-  parts.push_back(std::move(part));
-  return parts;
-}
+/// More than this is fetched over a connection, as the asker needs it.
+constexpr std::size_t longest_answer_datagrams = 4;
+/// Passes a link of 10 Mbit/s in 50 ms.
+constexpr std::size_t longest_page = 64 << 10;
 
 }  // namespace
 
@@ -69,12 +31,13 @@
     : settings_(std::move(settings)),
       replica_(replica),
       random_(static_cast<std::minstd_rand::result_type>(settings_.seed)),
+      choice_(settings_.self, members_),
       next_fetch_(now) {}
 
 void replica_spread::on_store(const item_listing& shown, time_point asked,
                               time_point now, spread_output& out) {
   store_answers_ = true;
-  take_in(shown, asked, now, out);
+  take_in(shown, shown.at, asked, now, out);
   if (reads_) {
     publish(shown, now, out);
   }
@@ -84,10 +47,11 @@
   store_answers_ = false;
 }
 
-void replica_spread::take_in(const item_listing& shown, time_point confirmed,
-                             time_point now, spread_output& out) {
+void replica_spread::take_in(const item_listing& shown, revision known,
+                             time_point confirmed, time_point now,
+                             spread_output& out) {
   auto fresh = replica_.apply(shown, now);
-  if (replica_.at() >= shown.at && now >= trusted_from_) {
+  if (replica_.at() >= known && now >= trusted_from_) {
     replica_.confirm(confirmed);
   }
   update_members(fresh);
@@ -127,27 +91,44 @@
                                  const bulletin& told, time_point now,
                                  spread_output& out) {
   const bool had_gap = told.listing.after > replica_.at();
-  take_in(told.listing, now - told.age, now, out);
+  take_in(told.listing, message.at, now - told.age, now, out);
   if (had_gap && !told.listing.complete) {
     next_inquiry_ = std::min(next_inquiry_, now);
-    if (told.listing.items.empty() && now >= next_fetch_) {
-      const auto sender = members_.find(message.sender);
-      if (sender != members_.end()) {
-        next_fetch_ = now + fetch_interval;
-        out.fetch_from = sender->second.address;
-        out.fetch_after = replica_.at();
-      }
+    const auto sender = members_.find(message.sender);
+    if (told.listing.items.empty() && sender != members_.end() &&
+        may_fetch(now, out)) {
+      fetch({sender->second.address, fetch_kind::newer, replica_.at()}, out);
     }
   }
-  auto& known = readers_[message.sender];
-  known.leaving = told.leaving;
-  if (told.leaving) {
-    known.leaving_at = now;
+  choice_.on_bulletin(message.sender, told, settings_.longest_age,
+                      now >= trusted_from_, now);
+}
+
+bool replica_spread::may_fetch(time_point now, const spread_output& out) const {
+  return !fetching_ && !out.fetch && now >= next_fetch_;
+}
+
+void replica_spread::fetch(const fetch_request& request, spread_output& out) {
+  fetching_ = request;
+  out.fetch = request;
+}
+
+void replica_spread::on_fetched(const std::optional<spread_message>& answer,
+                                time_point now, spread_output& out) {
+  const auto request = std::exchange(fetching_, std::nullopt);
+  next_fetch_ = now + fetch_interval;
+  const auto* told = answer ? std::get_if<bulletin>(&answer->body) : nullptr;
+  if (!request || told == nullptr) {
+    return;
   }
-  const bool is_fresh_enough =
-      told.age < settings_.longest_age * read_age_percent / 100;
-  if (told.reading && is_fresh_enough && now >= trusted_from_) {
-    known.fresh_at = now;
+  take_in(told->listing, answer->at, now - told->age, now, out);
+  choice_.on_bulletin(answer->sender, *told, settings_.longest_age,
+                      now >= trusted_from_, now);
+  const bool is_part =
+      told->listing.at < answer->at && replica_.at() < answer->at;
+  if (request->kind == fetch_kind::newer && is_part &&
+      replica_.at() > request->after) {
+    fetch({request->from, fetch_kind::newer, replica_.at()}, out);
   }
 }
 
@@ -158,7 +139,11 @@
     // Too much for datagrams: the gap makes the asker fetch it.
     listing = {{}, false, replica_.at(), replica_.at()};
   }
-  for (auto& part : parts_of(std::move(listing))) {
+  auto parts = detail::datagram_parts(std::move(listing));
+  if (parts.size() > longest_answer_datagrams) {
+    parts = {{{}, false, replica_.at(), replica_.at()}};
+  }
+  for (auto& part : parts) {
     out.datagrams.push_back({{to}, message_of(std::move(part), now)});
   }
 }
@@ -174,7 +159,7 @@
   if (listing.complete) {
     listing = {{}, false, replica_.at(), replica_.at()};
   }
-  for (auto& part : parts_of(std::move(listing))) {
+  for (auto& part : detail::datagram_parts(std::move(listing))) {
     out.datagrams.push_back({to, message_of(std::move(part), now)});
   }
 }
@@ -186,9 +171,9 @@
   told.leaving = leaving_;
   told.age =
       std::chrono::duration_cast<milliseconds>(now - replica_.confirmed_at());
-  const auto at = listing.at;
   told.listing = std::move(listing);
-  return {settings_.self.name, settings_.run, at, std::move(told), 0};
+  return {settings_.self.name, settings_.run, replica_.at(), std::move(told),
+          0};
 }
 
 void replica_spread::on_stall(time_point now) {
@@ -208,15 +193,9 @@
 }
 
 void replica_spread::choose_reading(time_point now) {
-  if (leaving_ || now < settled_at_) {
-    reads_ = false;
-  } else if (rank() == 0) {
-    reads_ = true;
-  } else if (reads_) {
-    reads_ = !is_covered(now);
-  } else {
-    reads_ = now - replica_.confirmed_at() >= takeover_age();
-  }
+  reads_ = !leaving_ && now >= settled_at_ &&
+           choice_.reads(reads_, replica_.confirmed_at(), settings_.longest_age,
+                         now);
 }
 
 void replica_spread::ask_for_missing(time_point now, spread_output& out) {
@@ -226,28 +205,25 @@
     return;
   }
   missing_since_ = missing_since_.value_or(now);
-  if (now - *missing_since_ < missing_patience || now < next_fetch_ ||
-      out.fetch_from) {
+  if (now - *missing_since_ < missing_patience || !may_fetch(now, out)) {
     return;
   }
   if (const auto member = random_member(random_() % 2 == 0)) {
-    next_fetch_ = now + fetch_interval;
-    out.fetch_from = member->address;
-    out.fetch_after = revision(value_of(missing.front().second) - 1);
+    fetch({member->address, fetch_kind::newer,
+           revision(value_of(missing.front().second) - 1)},
+          out);
   }
 }
 
 // The store's list lacks upstreams that were removed but still have flows. A
 // process that has just started learns of them from a member that knew them.
 void replica_spread::ask_for_removed(time_point now, spread_output& out) {
-  if (removed_questions_ == 0 || now < next_fetch_ || out.fetch_from) {
+  if (removed_questions_ == 0 || !may_fetch(now, out)) {
     return;
   }
   if (const auto member = random_member(removed_questions_ % 2 == 0)) {
     --removed_questions_;
-    next_fetch_ = now + fetch_interval;
-    out.fetch_from = member->address;
-    out.fetch = fetch_kind::removed;
+    fetch({member->address, fetch_kind::removed, {}}, out);
   }
 }
 
@@ -286,15 +262,16 @@
   if (leaving_ || now < settled_at_) {
     return follow_mode::idle;
   }
-  if (replica_.confirmed_at() < settled_at_ && !is_covered(now)) {
+  if (replica_.confirmed_at() < settled_at_ && !choice_.is_covered(now)) {
     return follow_mode::check;
   }
   return reads_ ? follow_mode::follow : follow_mode::idle;
 }
 
-spread_message replica_spread::everything_after(revision after,
-                                                time_point now) const {
-  return message_of(replica_.since(after), now);
+spread_message replica_spread::changes_after(revision after,
+                                             time_point now) const {
+  return message_of(detail::first_page(replica_.since(after), longest_page),
+                    now);
 }
 
 spread_message replica_spread::everything_removed(time_point now) const {
@@ -308,49 +285,6 @@
   }
 }
 
-bool replica_spread::precedes(const member_record& left,
-                              const member_record& right) const {
-  const auto weight = [](const member_record& member) {
-    return XXH3_64bits(member.name.data(), member.name.size());
-  };
-  return left.capacity != right.capacity ? left.capacity > right.capacity
-                                         : weight(left) > weight(right);
-}
-
-std::size_t replica_spread::rank() const {
-  std::size_t rank = 0;
-  for (const auto& [name, member] : members_) {
-    const auto heard = readers_.find(name);
-    const bool leaves = heard != readers_.end() && heard->second.leaving;
-    if (name != settings_.self.name && !leaves &&
-        member.data_centre == settings_.self.data_centre &&
-        precedes(member, settings_.self)) {
-      ++rank;
-    }
-  }
-  return rank;
-}
-
-bool replica_spread::is_covered(time_point now) const {
-  for (const auto& [name, heard] : readers_) {
-    const auto member = members_.find(name);
-    if (member != members_.end() && !heard.leaving &&
-        heard.fresh_at + reader_timeout > now &&
-        heard.fresh_at != time_point{} &&
-        member->second.data_centre == settings_.self.data_centre &&
-        precedes(member->second, settings_.self)) {
-      return true;
-    }
-  }
-  return false;
-}
-
-duration replica_spread::takeover_age() const {
-  const auto place = static_cast<int>(std::min(rank(), last_takeover_rank));
-  return settings_.longest_age *
-         (read_age_percent + takeover_step_percent * place) / 100;
-}
-
 bool replica_spread::is_fresh(time_point now) const {
   return now - replica_.confirmed_at() < settings_.longest_age / 2;
 }
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -42,6 +42,7 @@
   to.setLeaving(told.leaving);
   to.setComplete(told.listing.complete);
   to.setAfter(value_of(told.listing.after));
+  to.setShownAt(value_of(told.listing.at));
   to.setAgeMs(static_cast<std::uint32_t>(told.age.count()));
   auto items = to.initItems(static_cast<unsigned>(told.listing.items.size()));
   for (unsigned i = 0; i < items.size(); ++i) {
@@ -49,14 +50,14 @@
   }
 }
 
-bulletin read(wire::SpreadMessage::Kind::Bulletin::Reader from, revision at) {
+bulletin read(wire::SpreadMessage::Kind::Bulletin::Reader from) {
   bulletin told;
   told.reading = from.getReading();
   told.leaving = from.getLeaving();
   told.age = milliseconds(from.getAgeMs());
   told.listing.complete = from.getComplete();
   told.listing.after = revision(from.getAfter());
-  told.listing.at = at;
+  told.listing.at = revision(from.getShownAt());
   for (const auto item : from.getItems()) {
     told.listing.items.push_back(read(item));
   }
@@ -100,7 +101,7 @@
     message.logical_time = root.getLogicalTime();
     switch (root.getKind().which()) {
       case wire::SpreadMessage::Kind::BULLETIN:
-        message.body = read(root.getKind().getBulletin(), message.at);
+        message.body = read(root.getKind().getBulletin());
         return message;
       case wire::SpreadMessage::Kind::INQUIRY:
         message.body = inquiry{};
--- a/test/fleet/fake_callers.cc
+++ b/test/fleet/fake_callers.cc
@@ -44,7 +44,7 @@
   return run->number;
 }
 
-void fake_callers::start(std::shared_ptr<attempt> run) {
+void fake_callers::start(const std::shared_ptr<attempt>& run) {
   const auto next = next_port_++;
   run->flow = {{first_address_ + next % caller_addresses,
                 static_cast<std::uint16_t>(first_port + next % ports)},
--- a/test/fleet/fake_callers.h
+++ b/test/fleet/fake_callers.h
@@ -54,7 +54,7 @@
  private:
   struct attempt;
 
-  void start(std::shared_ptr<attempt> run);
+  void start(const std::shared_ptr<attempt>& run);
   void send(const attempt& run, std::uint8_t flags, std::uint32_t acknowledged,
             const std::string& data);
   void send_copy_after(duration wait, std::uint32_t copies,
--- a/test/fleet/fleet_world.cc
+++ b/test/fleet/fleet_world.cc
@@ -11,6 +11,7 @@
 constexpr milliseconds tick{50};
 constexpr milliseconds check{500};
 constexpr int misses_out_of_rotation = 2;
+constexpr milliseconds fetch_deadline{1500};
 constexpr std::uint16_t peer_port = 7700;
 
 }  // namespace
@@ -30,20 +31,20 @@
   const member_record self{
       name, data_centre, {0x0a010000U + next_node_++, peer_port}, capacity};
   const auto process = std::make_shared<test_node*>(nullptr);
-  const auto wiring = test_node::wiring{
-      [this, process](const spread_datagram& datagram) {
-        if (*process != nullptr && (*process)->running) {
-          send(**process, datagram);
-        }
-      },
-      [this, process](const endpoint& member, fetch_kind kind, revision after) {
-        fetch(**process, member, kind, after);
-      },
-      [this, data_centre](const delayed_packet& each) {
-        if (each.verdict.fate == packet_fate::forward) {
-          forward(data_centre, each.verdict, each.datagram);
-        }
-      }};
+  const auto wiring =
+      test_node::wiring{[this, process](const spread_datagram& datagram) {
+                          if (*process != nullptr && (*process)->running) {
+                            send(**process, datagram);
+                          }
+                        },
+                        [this, process](const fetch_request& request) {
+                          fetch(**process, request);
+                        },
+                        [this, data_centre](const delayed_packet& each) {
+                          if (each.verdict.fate == packet_fate::forward) {
+                            forward(data_centre, each.verdict, each.datagram);
+                          }
+                        }};
   auto& node = nodes[name];
   if (node) {
     // Calls that it has made may still be answered.
@@ -78,20 +79,23 @@
   }
 }
 
-void fleet_world::fetch(test_node& asker, const endpoint& member,
-                        fetch_kind kind, revision after) {
+void fleet_world::fetch(test_node& asker, const fetch_request& request) {
   for (auto& [name, node] : nodes) {
-    if (node->record.address != member || !node->running || node->frozen ||
+    if (node->record.address != request.from || !node->running ||
+        node->frozen ||
         is_cut(asker.record.data_centre, node->record.data_centre)) {
       continue;
     }
     const auto now = clock.now();
-    const auto message = kind == fetch_kind::removed
+    const auto message = request.kind == fetch_kind::removed
                              ? node->agent().everything_removed(now)
-                             : node->agent().everything_after(after, now);
+                             : node->agent().changes_after(request.after, now);
+    fetched_bytes += encode(message).size();
     clock.after(cross_delay,
-                [&asker, member, message] { asker.receive(member, message); });
+                [&asker, message] { asker.receive_fetched(message); });
+    return;
   }
+  clock.after(fetch_deadline, [&asker] { asker.receive_fetched({}); });
 }
 
 void fleet_world::wire(test_node& node) {
--- a/test/fleet/fleet_world.h
+++ b/test/fleet/fleet_world.h
@@ -75,6 +75,8 @@
   std::map<std::string, std::unique_ptr<test_node>> nodes;
   std::map<std::string, std::unique_ptr<fake_upstream>> upstreams;
   fake_callers callers;
+  /// Bytes that members have got from each other over connections.
+  std::size_t fetched_bytes = 0;
 
  private:
   bool is_cut(const std::string& one, const std::string& other) const;
@@ -86,8 +88,7 @@
                const bytes& datagram);
   void wire(test_node& node);
   void send(const test_node& from, const spread_datagram& datagram);
-  void fetch(test_node& asker, const endpoint& member, fetch_kind kind,
-             revision after);
+  void fetch(test_node& asker, const fetch_request& request);
   void check_ready();
 
   std::vector<std::string> data_centres_;
--- a/test/fleet/test_node.h
+++ b/test/fleet/test_node.h
@@ -20,11 +20,11 @@
  public:
   struct wiring {
     std::function<void(const spread_datagram&)> send;
-    std::function<void(const endpoint&, fetch_kind, revision)> fetch;
+    std::function<void(const fetch_request&)> fetch;
     std::function<void(const delayed_packet&)> repeat;
   };
 
-  test_node(member_record self, fake_kv_store& store, scheduler& time,
+  test_node(const member_record& self, fake_kv_store& store, scheduler& time,
             wiring to, milliseconds longest_age = milliseconds(3000))
       : record(self),
         client(store, time),
@@ -73,6 +73,12 @@
     }
   }
 
+  void receive_fetched(const std::optional<spread_message>& message) {
+    agent_.on_fetched(
+        message ? decode_spread_message(encode(*message)) : std::nullopt,
+        runtime_clock::now());
+  }
+
   bool is_ready() const {
     return running && !leaving_ && agent_.configuration() > 0 &&
            !core_.ability().is_unable(runtime_clock::now());
@@ -98,9 +104,7 @@
 
  private:
   void send(const spread_datagram& datagram) override { to_.send(datagram); }
-  void fetch(const endpoint& member, fetch_kind kind, revision after) override {
-    to_.fetch(member, kind, after);
-  }
+  void fetch(const fetch_request& request) override { to_.fetch(request); }
   void update(fleet_update news) override {
     core_.on_update(news, runtime_clock::now());
   }
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -9,7 +9,14 @@
 namespace rosemarydrum {
 namespace {
 
-using namespace test_packets;
+using test_packets::ack;
+using test_packets::datagram_of;
+using test_packets::default_service;
+using test_packets::fin;
+using test_packets::flow_of;
+using test_packets::head;
+using test_packets::rst;
+using test_packets::syn;
 
 /// Counts what it hears of.
 struct recording_observer : forwarder_observer {
--- a/test/forwarder_options-test.cc
+++ b/test/forwarder_options-test.cc
@@ -50,6 +50,14 @@
   return std::get<field_error>(result).key;
 }
 
+/// The file with another value of a key that it holds.
+std::string file_with(const std::string& name, const std::string& value) {
+  const auto start = file_text.find("\n" + name + " =") + 1;
+  auto text = file_text;
+  return text.replace(start, file_text.find('\n', start) - start,
+                      name + " = " + value);
+}
+
 std::string line_of(const std::string& name, const std::string& value) {
   return file_text + name + " = " + value + "\n";
 }
@@ -97,15 +105,10 @@
       {"log-level", "loud"},           {"log-flows", "x"},
   };
   for (const auto& [name, value] : wrong_values) {
+    const bool is_in_the_file =
+        name == "listen" || name == "store" || name == "processor-share";
     const auto text =
-        name == "listen" || name == "store" || name == "processor-share"
-            ? file_text.substr(0, file_text.find(name + " =")) + name + " = " +
-                  value + "\n" +
-                  file_text.substr(
-                      file_text.find('\n',
-                                     file_text.find("\n" + name + " =") + 1) +
-                      1)
-            : line_of(name, value);
+        is_in_the_file ? file_with(name, value) : line_of(name, value);
     BOOST_TEST_CONTEXT(name << " = " << value) {
       BOOST_CHECK_EQUAL(wrong_key(load({}, text)), "--" + name);
     }
--- a/test/replica_spread-test.cc
+++ b/test/replica_spread-test.cc
@@ -151,9 +151,114 @@
   hear(told, 13);
   BOOST_CHECK(replica.at() == revision(10));
   // The sender gives no items: its history may be too short for a datagram.
-  BOOST_REQUIRE(out.fetch_from);
-  BOOST_CHECK(out.fetch == fetch_kind::newer);
-  BOOST_CHECK(out.fetch_after == revision(10));
+  BOOST_REQUIRE(out.fetch);
+  BOOST_CHECK(out.fetch->kind == fetch_kind::newer);
+  BOOST_CHECK(out.fetch->after == revision(10));
+}
+
+// Guards against members of a large fleet that fetch the same again and again
+// while their links are full.
+BOOST_FIXTURE_TEST_CASE(one_thing_is_fetched_at_a_time, alone) {
+  bulletin told;
+  told.listing.after = revision(12);
+  hear(told, 13);
+  BOOST_REQUIRE(out.fetch);
+  for (int i = 0; i < 4; ++i) {
+    clock.run_for(milliseconds(700));
+    out = {};
+    hear(told, 13);
+    spread.tick(clock.now(), out);
+    BOOST_CHECK(!out.fetch);
+  }
+  out = {};
+  spread.on_fetched({}, clock.now(), out);
+  BOOST_CHECK(!out.fetch);
+  clock.run_for(milliseconds(700));
+  hear(told, 13);
+  BOOST_CHECK(out.fetch);
+}
+
+/// Another member that knows of many more upstreams.
+struct far_ahead : alone {
+  static constexpr int upstream_count = 1000;
+
+  far_ahead() {
+    item_listing shown;
+    shown.after = revision(10);
+    for (int i = 1; i <= upstream_count; ++i) {
+      shown.items.push_back({"servers/i-" + std::to_string(i),
+                             std::string(250, 'x'),
+                             revision(10 + i),
+                             false,
+                             false,
+                             {}});
+    }
+    shown.at = revision(10 + upstream_count);
+    ahead.on_store(listing, clock.now(), clock.now(), out);
+    ahead.on_store(shown, clock.now(), clock.now(), out);
+    out = {};
+  }
+
+  item_replica rich{seconds(60)};
+  replica_spread ahead{{{"n-1", "north", {1, 7700}, 500},
+                        incarnation(1),
+                        {},
+                        milliseconds(3000),
+                        1},
+                       rich,
+                       clock.now()};
+};
+
+// Guards against a question of one packet that is answered with a thousand.
+BOOST_FIXTURE_TEST_CASE(long_answers_are_left_to_a_connection, far_ahead) {
+  ahead.on_message({2, 7700},
+                   {"n-2", incarnation(1), revision(10), inquiry{}, 0},
+                   clock.now(), out);
+  BOOST_REQUIRE(!out.datagrams.empty());
+  BOOST_CHECK_LE(out.datagrams.size(), 4U);
+  const auto message = out.datagrams.back().message;
+  out = {};
+  spread.on_message({1, 7700}, message, clock.now(), out);
+  BOOST_CHECK(out.fetch);
+}
+
+// Guards against answers that are too long for a slow link, and against a part
+// of what a member knows that counts as all of it.
+BOOST_FIXTURE_TEST_CASE(much_is_fetched_in_pages, far_ahead) {
+  clock.run_for(milliseconds(500));
+  const auto confirmed = replica.confirmed_at();
+  ahead.on_store({{}, false, rich.at(), rich.at()}, clock.now(), clock.now(),
+                 out);
+  out = {};
+  bulletin told;
+  told.listing.after = rich.at();
+  hear(told, value_of(rich.at()));
+  int pages = 0;
+  while (out.fetch && pages < 10) {
+    ++pages;
+    BOOST_CHECK(replica.confirmed_at() == confirmed);
+    const auto page = ahead.changes_after(out.fetch->after, clock.now());
+    BOOST_CHECK_LE(encode(page).size(), 80U << 10);
+    out = {};
+    spread.on_fetched(page, clock.now(), out);
+  }
+  BOOST_CHECK_GT(pages, 1);
+  BOOST_CHECK(replica.at() == rich.at());
+  BOOST_CHECK(replica.confirmed_at() > confirmed);
+}
+
+// Guards against the first datagram of several that confirms what the others
+// would have told.
+BOOST_FIXTURE_TEST_CASE(a_part_confirms_nothing, far_ahead) {
+  clock.run_for(milliseconds(500));
+  const auto confirmed = replica.confirmed_at();
+  bulletin told;
+  told.reading = true;
+  told.listing = {{}, false, revision(10), revision(15)};
+  spread.on_message({1, 7700}, {"n-1", incarnation(1), revision(20), told, 0},
+                    clock.now(), out);
+  BOOST_CHECK(replica.at() == revision(15));
+  BOOST_CHECK(replica.confirmed_at() == confirmed);
 }
 
 // Guards against knowledge that is taken for fresh because messages about it
@@ -207,7 +312,7 @@
   BOOST_REQUIRE_EQUAL(told.listing.items.size(), 2U);
   BOOST_CHECK(told.listing.items[0].omitted);
   BOOST_CHECK(!told.listing.items[1].omitted);
-  const auto whole = spread.everything_after(revision(10), clock.now());
+  const auto whole = spread.changes_after(revision(10), clock.now());
   BOOST_CHECK_EQUAL(
       std::get<bulletin>(whole.body).listing.items[0].value.size(), 5000U);
 }
--- a/test/scenario/checker.h
+++ b/test/scenario/checker.h
@@ -87,8 +87,9 @@
     if (flow_home_.try_emplace(answer.flow, ran_at_[answer.attempt]).second) {
       opened_by_[answer.flow] = answer.request;
     }
-    for (std::uint16_t i = 0; i < parts.size(); ++i) {
-      if (parts[i] != expected_part(answer.flow, answer.request, i)) {
+    for (std::size_t i = 0; i < parts.size(); ++i) {
+      if (parts[i] != expected_part(answer.flow, answer.request,
+                                    static_cast<std::uint16_t>(i))) {
         ++counts_["mixed_answers"];
         return;
       }
--- a/test/standins/store_server.h
+++ b/test/standins/store_server.h
@@ -59,21 +59,23 @@
   static constexpr std::uint64_t max_wait_ms = 10'000;
 
   void accept() {
-    acceptor_.async_accept([this](const boost::system::error_code& error,
-                                  tcp::socket socket) {
-      if (error) {
-        return;
-      }
-      std::erase_if(sessions_, [](const auto& s) { return s.expired(); });
-      if (sessions_.size() < max_sessions) {
-        const auto session = std::make_shared<http_session>(
-            std::move(socket),
-            [this](session_ptr from, request asked) { handle(from, asked); });
-        sessions_.push_back(session);
-        session->read();
-      }
-      accept();
-    });
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, tcp::socket socket) {
+          if (error) {
+            return;
+          }
+          std::erase_if(sessions_, [](const auto& s) { return s.expired(); });
+          if (sessions_.size() < max_sessions) {
+            const auto session = std::make_shared<http_session>(
+                std::move(socket),
+                [this](const session_ptr& from, const request& asked) {
+                  handle(from, asked);
+                });
+            sessions_.push_back(session);
+            session->read();
+          }
+          accept();
+        });
   }
 
   const store_state& visible() const {
