Give flows a new witness when theirs has stopped

The time line shows balancer 2 refusing every request of flow 2003 with deadline_exceeded, 4 s apart: its token named balancer 1 as witness, which had been killed less than the suspicion time before. The owner could not record any request, refused each at its deadline, and that refusal brought no token, so that the flow stood still until its token expired (60 s). Change: the owner refuses at once, for good, what it cannot record because the token's witness has stopped, and each certain refusal of a non-idempotent request brings a token with a live witness.

--- a/include/rosemarydrum/requests/request_owner.h
+++ b/include/rosemarydrum/requests/request_owner.h
@@ -23,6 +23,9 @@
   upstream_id pinned{};
   /// Non-idempotent only: the token that names this balancer as the owner.
   token authority;
+  /// The witness of `authority` has stopped, so that the request cannot be
+  /// recorded.
+  bool witness_lost = false;
   /// Seals the flow's next token: the witness of this moment.
   balancer_run next_witness;
   /// Data centres to try when the own one has no capacity, nearest first.
--- a/src/balancer/balancer_state.h
+++ b/src/balancer/balancer_state.h
@@ -105,6 +105,8 @@
               time_point now, actions& out);
   /// Why a new request is not taken here; none if it is.
   error_kind reason_to_refuse(const caller_packet& p, time_point now) const;
+  /// Whether this run of a balancer can be reached.
+  bool is_alive(const balancer_run& other, time_point now) const;
   certainty known_outcome(const caller_packet& p) const;
   owned_request make_owned(const caller_packet& p, bool idempotent,
                            time_point now);
--- a/src/balancer/caller_path.cc
+++ b/src/balancer/caller_path.cc
@@ -105,6 +105,8 @@
   if (p.sealed) {
     r.authority = *p.sealed;
     r.pinned = p.sealed->upstream.id;
+    const auto& named = p.sealed->witness;
+    r.witness_lost = named.run != incarnation{} && !is_alive(named, now);
   }
   if (r.pinned == upstream_id{} && !r.opens_flow) {
     if (const auto bound = flows.find(p.flow, now)) {
@@ -138,6 +140,12 @@
   }
 }
 
+bool balancer::state::is_alive(const balancer_run& other,
+                               time_point now) const {
+  return members.is_live(other.id, now) &&
+         members.run_of(other.id) == other.run;
+}
+
 error_kind balancer::state::reason_to_refuse(const caller_packet& p,
                                              time_point now) const {
   if (p.admission != error_kind::none) {
@@ -176,12 +184,9 @@
   if (p.forwarded) {
     return;  // One hop only: the token names an earlier run of this balancer.
   }
-  const bool owner_live =
-      members.is_live(authority.owner.id, now) &&
-      members.run_of(authority.owner.id) == authority.owner.run;
   forwarder.start({r.key, p.envelope, p.datagram, authority,
                    fresh_token(p.flow, authority.upstream, now)},
-                  owner_live, now, out);
+                  is_alive(authority.owner, now), now, out);
 }
 
 }  // namespace rosemarydrum
--- a/src/requests/reply_writer.cc
+++ b/src/requests/reply_writer.cc
@@ -63,7 +63,9 @@
   refusal.header = reply_header(request, packet_kind::refusal);
   refusal.header.error = error;
   refusal.header.outcome = outcome;
-  if (helps_with_token(error)) {
+  // The token of a request that did not run may name a balancer that is gone.
+  const bool is_certain = !request.idempotent && outcome == certainty::not_run;
+  if (helps_with_token(error) || is_certain) {
     refusal.token = fresh_token(request, {request.pinned, {}}, now);
   }
   out.emplace_back(send_to_caller{request.envelope, std::move(refusal)});
--- a/src/requests/request_owner.cc
+++ b/src/requests/request_owner.cc
@@ -118,6 +118,16 @@
   }
 }
 
+void request_owner::state::refuse_unrecorded(const owned_request& request,
+                                             time_point now, actions& out) {
+  // Kept, so that no later copy runs if the witness turns out to be alive.
+  kept_request ended;
+  ended.error = error_kind::owner_lost;
+  ended.outcome = certainty::not_run;
+  replies.send(request, ended, now, out);
+  kept.add(request.key, std::move(ended), keep_until(request, now));
+}
+
 request_owner::request_owner(request_owner_settings settings,
                              const token_codec& tokens, std::uint64_t seed)
     : state_(std::make_unique<state>(settings, tokens, seed)) {}
@@ -154,6 +164,10 @@
                            now, out);
     return;
   }
+  if (!request.idempotent && request.witness_lost) {
+    state_->refuse_unrecorded(request, now, out);
+    return;
+  }
   state_->start(request, now, out);
 }
 
--- a/src/requests/request_owner_state.h
+++ b/src/requests/request_owner_state.h
@@ -31,6 +31,9 @@
   /// Ends all attempts and sends the refusal. Finishes the request.
   void refuse_active(active& entry, error_kind error, time_point now,
                      actions& out);
+  /// Refuses a request whose witness has stopped.
+  void refuse_unrecorded(const owned_request& request, time_point now,
+                         actions& out);
   void refuse_new(const owned_request& request, error_kind error,
                   time_point now, actions& out);
   void finish(active& entry, detail::kept_request ended, time_point now,
--- a/test/request_owner-test.cc
+++ b/test/request_owner-test.cc
@@ -86,6 +86,45 @@
   BOOST_TEST(take<send_to_caller>().size() == 1U);
 }
 
+// Guards against a flow whose requests all wait for a record until their
+// deadlines, because the token's witness has stopped.
+BOOST_FIXTURE_TEST_CASE(a_lost_witness_is_replaced, request_owner_fixture) {
+  auto r = request(1, false);
+  r.witness_lost = true;
+  owner.on_request(r, now, out);
+  const auto all = out;
+  const auto replies = take<send_to_caller>();
+  BOOST_REQUIRE_EQUAL(replies.size(), 1U);
+  BOOST_CHECK(replies[0].datagram.header.error == error_kind::owner_lost);
+  BOOST_CHECK(replies[0].datagram.header.outcome == certainty::not_run);
+  BOOST_CHECK(!replies[0].datagram.token.empty());
+  out = all;
+  BOOST_CHECK(take<ask_slot>().empty());
+  // The witness was silent only: the refusal stays true.
+  r.witness_lost = false;
+  owner.on_request(r, now, out);
+  const auto again = out;
+  BOOST_CHECK_EQUAL(take<send_to_caller>().size(), 1U);
+  out = again;
+  BOOST_CHECK(take<ask_slot>().empty());
+}
+
+// Guards against a caller that goes on with the token of a witness that does
+// not answer, although it is not suspected yet.
+BOOST_FIXTURE_TEST_CASE(unrecorded_requests_end_with_a_token,
+                        request_owner_fixture) {
+  grant(start(request(1, false)));
+  take<send_to_caller>();
+  now += milliseconds(1001);
+  owner.tick(now, out);
+  const auto replies = take<send_to_caller>();
+  BOOST_REQUIRE_EQUAL(replies.size(), 1U);
+  BOOST_CHECK(replies[0].datagram.header.error ==
+              error_kind::deadline_exceeded);
+  BOOST_CHECK(replies[0].datagram.header.outcome == certainty::not_run);
+  BOOST_CHECK(!replies[0].datagram.token.empty());
+}
+
 // Guards against a send on a grant that the decider has given up.
 BOOST_FIXTURE_TEST_CASE(old_grant_is_void, request_owner_fixture) {
   const auto r = request(1, true);
