Take the first flows of a process, and a pause, as no evidence of upstreams

The upstreams had answered; the fabric had sent the callers' next packets to forwarders that it knew to be ready. Change: openings that are sent in the first second after the first configuration say nothing of upstreams, and the end of a pause forgets silence. Tests: first_flows_are_no_evidence, silence_is_forgotten_after_a_pause (both fail without the change).

--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -124,6 +124,9 @@
   time_point stall_ends_;
   time_point old_packets_until_;
   time_point old_knowledge_until_;
+  /// Openings that were sent before say nothing of upstreams.
+  time_point evidence_from_;
+  bool is_unable_ = false;
   open_flows flows_;
   std::deque<waiting_opening> openings_;
   std::vector<held_packet> held_;
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -15,6 +15,9 @@
 /// flows are placed by it, or this much time must have passed.
 constexpr milliseconds long_stall{1000};
 constexpr milliseconds knowledge_patience{600};
+/// Until the fabric has seen that a new process is ready, it may send the later
+/// packets of the flows that are placed here to other forwarders.
+constexpr milliseconds rotation_time{1000};
 
 }  // namespace
 
@@ -270,7 +273,7 @@
 }
 
 void forwarder::note_unanswered(const open_flow& flow, time_point now) {
-  if (!flow.counted) {
+  if (!flow.counted || flow.sent_at < evidence_from_) {
     return;
   }
   ability_.on_failed(now);
@@ -342,6 +345,9 @@
   } else if (const auto* routes =
                  std::get_if<configuration_change>(&change.what)) {
     if (change.changed > routes_changed_) {
+      if (!routes_.is_known()) {
+        evidence_from_ = now + rotation_time;
+      }
       routes_changed_ = change.changed;
       routes_ = route_table(routes->value);
     }
@@ -392,6 +398,12 @@
     }
     end(flow);
   });
+  const bool was_unable = std::exchange(is_unable_, ability_.is_unable(now));
+  if (was_unable && !is_unable_) {
+    // If nearly nothing answered, that says little of single upstreams, and
+    // none was tried since.
+    placement_.on_reconnected();
+  }
   directory_.forget_gone(now, [this](upstream_index index) {
     flows_.erase_if(
         [index](const open_flow& flow) { return flow.upstream == index; });
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -81,15 +81,16 @@
                               milliseconds(300),
                               0});
     routes->services.push_back({"desk", milliseconds(2000), 0});
-    change(configuration_change{routes});
+    // Long enough ago for the process to be in rotation.
+    change(configuration_change{routes}, start - seconds(10));
   }
 
-  void change(decltype(fleet_change::what) what) {
+  void change(decltype(fleet_change::what) what, time_point now = start) {
     fleet_update news;
     news.confirmed_at = start;
     revision_ = revision(value_of(revision_) + 1);
     news.changes.push_back({revision_, std::move(what)});
-    tested.on_update(news, start);
+    tested.on_update(news, now);
   }
 
   void add(std::uint64_t key, record_state state = record_state::present) {
@@ -397,6 +398,54 @@
   BOOST_CHECK_EQUAL(seen.answers, 1);
 }
 
+// Guards against a process that takes itself and all upstreams for unable,
+// because the fabric sent the answers to its first flows to other forwarders.
+BOOST_FIXTURE_TEST_CASE(first_flows_are_no_evidence, fixture) {
+  constexpr int flows = 12;
+  for (int i = 1; i <= flows; ++i) {
+    add(static_cast<std::uint64_t>(i));
+  }
+  const auto play = [&](time_point now, std::uint16_t first_port) {
+    for (int i = 0; i < flows; ++i) {
+      open(static_cast<std::uint16_t>(first_port + i), now);
+    }
+    tested.due_packets(false, now + milliseconds(60));
+  };
+  play(start - seconds(10) + milliseconds(100), 100);
+  BOOST_CHECK_EQUAL(seen.silent, 0);
+  BOOST_CHECK(
+      !tested.ability().is_unable(start - seconds(10) + milliseconds(160)));
+  play(start, 200);
+  BOOST_CHECK_GT(seen.silent, 0);
+  BOOST_CHECK(tested.ability().is_unable(at(60)));
+}
+
+// Guards against callers that are turned away after a pause, because all
+// upstreams are still taken for silent.
+BOOST_FIXTURE_TEST_CASE(silence_is_forgotten_after_a_pause, fixture) {
+  constexpr int flows = 6;
+  for (std::uint64_t i = 1; i <= 2; ++i) {
+    add(i);
+  }
+  for (std::uint16_t i = 0; i < flows; ++i) {
+    open(i, start);
+  }
+  tested.due_packets(false, at(60));
+  tested.due_packets(false, at(120));
+  tested.tick(at(130));
+  BOOST_REQUIRE(tested.ability().is_unable(at(130)));
+  const auto able_again = tested.ability().unable_until() + milliseconds(10);
+  fleet_update news;
+  news.confirmed_at = able_again;
+  tested.on_update(news, able_again);
+  BOOST_REQUIRE(!tested.ability().is_unable(able_again));
+  tested.tick(able_again);
+  for (std::uint16_t i = 0; i < flows; ++i) {
+    BOOST_CHECK(open(static_cast<std::uint16_t>(100 + i), able_again).fate ==
+                packet_fate::forward);
+  }
+}
+
 // Guards against an older configuration that takes the place of a newer one.
 BOOST_FIXTURE_TEST_CASE(older_configurations_are_ignored, fixture) {
   auto newer = std::make_shared<fleet_configuration>();
