--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -40,7 +40,7 @@
   /// The upstreams' entries were up to date at this time.
   void set_confirmed(time_point confirmed) { confirmed_ = confirmed; }
   /// All members of the fleet; cold upstreams are shared out among them.
-  void set_members(std::vector<std::string> names);
+  void set_members(const std::vector<std::string>& names);
   /// Data centres that operators have taken out get no new flows.
   void set_out(const std::string& data_centre, bool out);
   bool is_out(const std::string& data_centre) const;
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -34,8 +34,8 @@
       share_(settings_.self),
       random_(static_cast<std::minstd_rand::result_type>(settings_.seed)) {}
 
-void placement::set_members(std::vector<std::string> names) {
-  share_.set_members(std::move(names));
+void placement::set_members(const std::vector<std::string>& names) {
+  share_.set_members(names);
 }
 
 void placement::set_out(const std::string& data_centre, bool out) {
--- a/test/packet_codec-test.cc
+++ b/test/packet_codec-test.cc
@@ -10,7 +10,10 @@
 namespace rosemarydrum::platform {
 namespace {
 
-using namespace test_packets;
+using test_packets::ack;
+using test_packets::datagram_of;
+using test_packets::flow_of;
+using test_packets::head;
 
 bytes from_hex(std::string_view text) {
   bytes result;
--- a/test/soak/kv_server.cc
+++ b/test/soak/kv_server.cc
@@ -205,7 +205,7 @@
       return;
     }
     store_.add_watch({prefix, after, reply});
-    time_.after(milliseconds(wanted.number("WaitMs")), [this, after, reply] {
+    time_.after(milliseconds(wanted.number("WaitMs")), [after, reply] {
       reply({error_kind::none, {}, after});
     });
   }
--- a/test/soak/soak-main.cc
+++ b/test/soak/soak-main.cc
@@ -121,12 +121,7 @@
   return fleet.checks.broken.size();
 }
 
-}  // namespace
-}  // namespace rosemarydrum
-
-/// A randomized soak of the real forwarder: soak --program FILE --seed N.
-int main(int count, char** words) {
-  using namespace rosemarydrum;
+int run_soak(int count, char** words) {
   std::signal(SIGPIPE, SIG_IGN);
   soak_run wanted;
   std::uint64_t seeds = 1;
@@ -163,3 +158,11 @@
   }
   return failed == 0 ? 0 : 1;
 }
+
+}  // namespace
+}  // namespace rosemarydrum
+
+/// A randomized soak of the real forwarder: soak --program FILE --seed N.
+int main(int count, char** words) {
+  return rosemarydrum::run_soak(count, words);
+}
--- a/test/soak/soak_fleet.cc
+++ b/test/soak/soak_fleet.cc
@@ -49,6 +49,8 @@
 
 /// A socket of an upstream or of callers.
 struct soak_fleet::receiver {
+  explicit receiver(udp::socket bound) : socket(std::move(bound)) {}
+
   udp::socket socket;
   fake_upstream* upstream = nullptr;
   bytes buffer = bytes(4096);
