--- a/src/events/reference_pages.cc
+++ b/src/events/reference_pages.cc
@@ -89,7 +89,13 @@
       "that it depends on. `?` marks an event of another process with the "
       "same logical time as the one before it; their order is not known. "
       "Events that do not depend on each other may have happened in another "
-      "order than listed even without the mark.\n\n";
+      "order than listed even without the mark.\n\n"
+      "A forwarder writes each event as one JSON object on a line of standard "
+      "output, with `unix_ms`, `logical` (its Lamport clock), `event`, `name`, "
+      "`severity`, `node`, `run` and the fields below; at most 50 a second of "
+      "each number, 200 of `flow_opened` (setting `log-flows`). `left_out` in "
+      "the next one counts those left out. `rosemarydrum explain` joins the "
+      "lines of all forwarders.\n\n";
   append_row(page, {"number", "name", "severity", "meaning", "fields"});
   append_row(page, {"---", "---", "---", "---", "---"});
   for (const auto& event : event_catalogue()) {
--- a/test/packet_codec-test.cc
+++ b/test/packet_codec-test.cc
@@ -13,7 +13,6 @@
 using test_packets::ack;
 using test_packets::datagram_of;
 using test_packets::flow_of;
-using test_packets::head;
 
 bytes from_hex(std::string_view text) {
   bytes result;
