--- a/apps/forwarder/forwarder_metrics.h
+++ b/apps/forwarder/forwarder_metrics.h
@@ -15,8 +15,6 @@
   std::uint64_t packets_received = 0;
   std::uint64_t packets_forwarded = 0;
   std::uint64_t sends_failed = 0;
-  std::uint64_t fetches = 0;
-  std::uint64_t fetches_failed = 0;
   std::array<std::uint64_t, static_cast<std::size_t>(fate_reason::count)>
       discarded{};
   std::array<std::uint64_t, static_cast<std::size_t>(fate_reason::count)>
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -1,25 +1,8 @@
 #include "rosemarydrum/forwarding/forwarder.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace rosemarydrum {
-namespace {
-
-/// An upstream writes its entry this often at least, so that the entry of one
-/// that has become cold may be as old.
-constexpr milliseconds entry_delay{2000};
-/// What waited while the process did not run is read within this time.
-constexpr milliseconds backlog_time{20};
-/// After a longer stall than this, what is known has to be confirmed before
-/// flows are placed by it, or this much time must have passed.
-constexpr milliseconds long_stall{1000};
-constexpr milliseconds knowledge_patience{600};
-/// Until the fabric has seen that a new process is ready, it may send the later
-/// packets of the flows that are placed here to other forwarders.
-constexpr milliseconds rotation_time{1000};
-
-}  // namespace
 
 forwarder::forwarder(forwarder_settings settings, const flow_codec& codec,
                      forwarder_observer& observer)
@@ -67,131 +50,6 @@
   }
 }
 
-packet_verdict forwarder::on_opening(const flow_packet& packet,
-                                     time_point now) {
-  auto* flow = flows_.find(packet.flow);
-  if (flow != nullptr && flow->stage == flow_stage::open) {
-    // A copy that was delayed: its upstream knows the flow.
-    return to_upstream(flow->upstream, fate_reason::established);
-  }
-  if (routes_.find(packet.flow.service) == nullptr) {
-    // The route may be newer than what is known here. The caller tries again.
-    return discard(packet, fate_reason::no_route, now);
-  }
-  if (is_too_old(now)) {
-    return discard(packet, fate_reason::stalled, now);
-  }
-  const bool is_copy = flow != nullptr && flow->stage == flow_stage::opening;
-  if (!is_copy) {
-    flow = flows_.insert(packet.flow, now);
-    if (flow == nullptr) {
-      return refuse(packet, fate_reason::no_upstream, now);
-    }
-  }
-  flow->last_packet = now;
-  flow->opening.assign(packet.datagram.begin(), packet.datagram.end());
-  flow->repeats = 0;
-  const auto verdict = is_copy
-                           ? place_again(*flow, repeat_cause::callers_copy, now)
-                           : place(*flow, std::nullopt, true, now);
-  if (!verdict) {
-    flows_.erase(packet.flow);
-    return refuse_opening(packet, now);
-  }
-  return *verdict;
-}
-
-// A reset is final, so it is sent only if no forwarder can place the flow.
-// Without it the caller sends its packet again, through whichever forwarder
-// the fabric has in rotation by then.
-packet_verdict forwarder::refuse_opening(const flow_packet& packet,
-                                         time_point now) {
-  ability_.on_failed(now);
-  const auto* found = routes_.find(packet.flow.service);
-  const auto* target = found == nullptr
-                           ? nullptr
-                           : route_table::target_for(
-                                 *found, std::hash<flow_ends>{}(packet.flow));
-  if (target != nullptr &&
-      placement_.census(target->service, now).unreachable > 0) {
-    return discard(packet, fate_reason::unreachable, now);
-  }
-  return refuse(packet, fate_reason::no_upstream, now);
-}
-
-std::optional<packet_verdict> forwarder::place(
-    open_flow& flow, std::optional<upstream_index> before, bool may_repeat,
-    time_point now) {
-  end(flow);
-  const auto* found = routes_.find(flow.ends.service);
-  const auto* target =
-      found == nullptr
-          ? nullptr
-          : route_table::target_for(*found, std::hash<flow_ends>{}(flow.ends));
-  const auto chosen =
-      target == nullptr
-          ? std::nullopt
-          : placement_.choose(
-                target->service,
-                routes_.service(target->service).cold_requests_per_second,
-                before, may_repeat, now);
-  if (!chosen) {
-    return std::nullopt;
-  }
-  placement_.on_placed(chosen->upstream,
-                       chosen->reason != placement_reason::least_loaded, now);
-  flow.stage = flow_stage::opening;
-  flow.upstream = chosen->upstream;
-  flow.counted = true;
-  flow.choice = *chosen;
-  flow.route = found->name;
-  flow.objective = found->objective;
-  flow.sent_at = now;
-  ++flow.attempts;
-  openings_.push_back({now + handshake_timeout, flow.ends, now});
-  return to_upstream(chosen->upstream, fate_reason::placed);
-}
-
-std::optional<packet_verdict> forwarder::place_again(open_flow& flow,
-                                                     repeat_cause cause,
-                                                     time_point now) {
-  const auto before = flow.upstream;
-  const auto waited = now - flow.sent_at;
-  note_unanswered(flow, now);
-  const bool may_repeat = cause == repeat_cause::callers_copy;
-  const auto verdict = place(flow, before, may_repeat, now);
-  if (verdict && flow.upstream != before) {
-    observer_.on_placed_again(flow, directory_.at(flow.upstream),
-                              directory_.at(before), waited, cause, now);
-  }
-  return verdict;
-}
-
-std::vector<delayed_packet> forwarder::due_packets(bool has_backlog,
-                                                   time_point now) {
-  release_held(now);
-  if (!has_backlog) {
-    repeat_openings(now);
-  }
-  return std::exchange(due_, {});
-}
-
-void forwarder::repeat_openings(time_point now) {
-  while (!openings_.empty() && openings_.front().due <= now) {
-    const auto next = openings_.front();
-    openings_.pop_front();
-    auto* flow = flows_.find(next.ends);
-    if (flow == nullptr || flow->stage != flow_stage::opening ||
-        flow->sent_at != next.sent_at || flow->repeats >= most_repeats) {
-      continue;
-    }
-    ++flow->repeats;
-    if (const auto verdict = place_again(*flow, repeat_cause::timeout, now)) {
-      due_.push_back({*verdict, flow->opening});
-    }
-  }
-}
-
 packet_verdict forwarder::on_established(const flow_packet& packet,
                                          time_point now) {
   if (routes_.find(packet.flow.service) == nullptr) {
@@ -272,17 +130,6 @@
   }
 }
 
-void forwarder::note_unanswered(const open_flow& flow, time_point now) {
-  if (!flow.counted || flow.sent_at < evidence_from_) {
-    return;
-  }
-  ability_.on_failed(now);
-  if (placement_.on_unanswered(flow.upstream, flow.sent_at, now)) {
-    observer_.on_silent(flow, directory_.at(flow.upstream),
-                        placement_.unanswered(flow.upstream), now);
-  }
-}
-
 packet_verdict forwarder::refuse(const flow_packet& packet, fate_reason reason,
                                  time_point now) {
   const auto* found = routes_.find(packet.flow.service);
@@ -320,95 +167,4 @@
   return routes_.service(directory_.at(upstream).record.service);
 }
 
-void forwarder::on_update(const fleet_update& news, time_point now) {
-  confirmed_ = news.confirmed_at;
-  placement_.set_confirmed(news.confirmed_at);
-  ability_.set_confirmed(news.confirmed_at);
-  if (news.members) {
-    placement_.set_members(*news.members);
-  }
-  if (news.reconnected) {
-    // What was seen while this process was cut off says nothing of upstreams.
-    placement_.on_reconnected();
-    ability_.reset();
-  }
-  for (const auto& change : news.changes) {
-    on_change(change, now);
-  }
-}
-
-void forwarder::on_change(const fleet_change& change, time_point now) {
-  if (const auto* upstream = std::get_if<upstream_change>(&change.what)) {
-    if (const auto index = directory_.apply(*upstream, change.changed, now)) {
-      placement_.on_record(*index);
-    }
-  } else if (const auto* routes =
-                 std::get_if<configuration_change>(&change.what)) {
-    if (change.changed > routes_changed_) {
-      if (!routes_.is_known()) {
-        evidence_from_ = now + rotation_time;
-      }
-      routes_changed_ = change.changed;
-      routes_ = route_table(routes->value);
-    }
-  } else if (const auto* state =
-                 std::get_if<data_centre_change>(&change.what)) {
-    on_data_centre(*state, change.changed, now);
-  }
-}
-
-void forwarder::on_data_centre(const data_centre_change& change,
-                               revision changed, time_point now) {
-  auto& known = data_centres_[change.name];
-  if (changed <= known.changed) {
-    return;
-  }
-  if (known.out && !change.out) {
-    placement_.spare(change.name, entry_delay + routes_.longest_warmup(), now);
-  }
-  known.changed = changed;
-  if (known.out != change.out) {
-    known.out = change.out;
-    known.since = now;
-  }
-  placement_.set_out(change.name, change.out);
-}
-
-void forwarder::on_stall(duration stalled, time_point now) {
-  openings_.clear();
-  stall_ends_ = now;
-  old_packets_until_ = now + backlog_time;
-  if (stalled >= long_stall) {
-    old_knowledge_until_ = now + knowledge_patience;
-  }
-}
-
-// Opening packets that waited while the process did not run have been given up
-// by their callers. Those that come later are placed by what is known, which
-// may be as old as the stall.
-bool forwarder::is_too_old(time_point now) const {
-  return now < old_packets_until_ ||
-         (now < old_knowledge_until_ && confirmed_ < stall_ends_);
-}
-
-void forwarder::tick(time_point now) {
-  flows_.expire(now, [this, now](open_flow& flow) {
-    if (flow.stage == flow_stage::opening && flow.counted) {
-      observer_.on_unanswered(flow, directory_.at(flow.upstream), now);
-    }
-    end(flow);
-  });
-  const bool was_unable = std::exchange(is_unable_, ability_.is_unable(now));
-  if (was_unable && !is_unable_) {
-    // If nearly nothing answered, that says little of single upstreams, and
-    // none was tried since.
-    placement_.on_reconnected();
-  }
-  directory_.forget_gone(now, [this](upstream_index index) {
-    flows_.erase_if(
-        [index](const open_flow& flow) { return flow.upstream == index; });
-    placement_.forget(index);
-  });
-}
-
 }  // namespace rosemarydrum
--- /dev/null
+++ b/src/forwarding/forwarder_openings.cc
@@ -0,0 +1,143 @@
+#include <utility>
+
+#include "rosemarydrum/forwarding/forwarder.h"
+
+namespace rosemarydrum {
+
+packet_verdict forwarder::on_opening(const flow_packet& packet,
+                                     time_point now) {
+  auto* flow = flows_.find(packet.flow);
+  if (flow != nullptr && flow->stage == flow_stage::open) {
+    // A copy that was delayed: its upstream knows the flow.
+    return to_upstream(flow->upstream, fate_reason::established);
+  }
+  if (routes_.find(packet.flow.service) == nullptr) {
+    // The route may be newer than what is known here. The caller tries again.
+    return discard(packet, fate_reason::no_route, now);
+  }
+  if (is_too_old(now)) {
+    return discard(packet, fate_reason::stalled, now);
+  }
+  const bool is_copy = flow != nullptr && flow->stage == flow_stage::opening;
+  if (!is_copy) {
+    flow = flows_.insert(packet.flow, now);
+    if (flow == nullptr) {
+      return refuse(packet, fate_reason::no_upstream, now);
+    }
+  }
+  flow->last_packet = now;
+  flow->opening.assign(packet.datagram.begin(), packet.datagram.end());
+  flow->repeats = 0;
+  const auto verdict = is_copy
+                           ? place_again(*flow, repeat_cause::callers_copy, now)
+                           : place(*flow, std::nullopt, true, now);
+  if (!verdict) {
+    flows_.erase(packet.flow);
+    return refuse_opening(packet, now);
+  }
+  return *verdict;
+}
+
+// A reset is final, so it is sent only if no forwarder can place the flow.
+// Without it the caller sends its packet again, through whichever forwarder
+// the fabric has in rotation by then.
+packet_verdict forwarder::refuse_opening(const flow_packet& packet,
+                                         time_point now) {
+  ability_.on_failed(now);
+  const auto* found = routes_.find(packet.flow.service);
+  const auto* target = found == nullptr
+                           ? nullptr
+                           : route_table::target_for(
+                                 *found, std::hash<flow_ends>{}(packet.flow));
+  if (target != nullptr &&
+      placement_.census(target->service, now).unreachable > 0) {
+    return discard(packet, fate_reason::unreachable, now);
+  }
+  return refuse(packet, fate_reason::no_upstream, now);
+}
+
+std::optional<packet_verdict> forwarder::place(
+    open_flow& flow, std::optional<upstream_index> before, bool may_repeat,
+    time_point now) {
+  end(flow);
+  const auto* found = routes_.find(flow.ends.service);
+  const auto* target =
+      found == nullptr
+          ? nullptr
+          : route_table::target_for(*found, std::hash<flow_ends>{}(flow.ends));
+  const auto chosen =
+      target == nullptr
+          ? std::nullopt
+          : placement_.choose(
+                target->service,
+                routes_.service(target->service).cold_requests_per_second,
+                before, may_repeat, now);
+  if (!chosen) {
+    return std::nullopt;
+  }
+  placement_.on_placed(chosen->upstream,
+                       chosen->reason != placement_reason::least_loaded, now);
+  flow.stage = flow_stage::opening;
+  flow.upstream = chosen->upstream;
+  flow.counted = true;
+  flow.choice = *chosen;
+  flow.route = found->name;
+  flow.objective = found->objective;
+  flow.sent_at = now;
+  ++flow.attempts;
+  openings_.push_back({now + handshake_timeout, flow.ends, now});
+  return to_upstream(chosen->upstream, fate_reason::placed);
+}
+
+std::optional<packet_verdict> forwarder::place_again(open_flow& flow,
+                                                     repeat_cause cause,
+                                                     time_point now) {
+  const auto before = flow.upstream;
+  const auto waited = now - flow.sent_at;
+  note_unanswered(flow, now);
+  const bool may_repeat = cause == repeat_cause::callers_copy;
+  const auto verdict = place(flow, before, may_repeat, now);
+  if (verdict && flow.upstream != before) {
+    observer_.on_placed_again(flow, directory_.at(flow.upstream),
+                              directory_.at(before), waited, cause, now);
+  }
+  return verdict;
+}
+
+std::vector<delayed_packet> forwarder::due_packets(bool has_backlog,
+                                                   time_point now) {
+  release_held(now);
+  if (!has_backlog) {
+    repeat_openings(now);
+  }
+  return std::exchange(due_, {});
+}
+
+void forwarder::repeat_openings(time_point now) {
+  while (!openings_.empty() && openings_.front().due <= now) {
+    const auto next = openings_.front();
+    openings_.pop_front();
+    auto* flow = flows_.find(next.ends);
+    if (flow == nullptr || flow->stage != flow_stage::opening ||
+        flow->sent_at != next.sent_at || flow->repeats >= most_repeats) {
+      continue;
+    }
+    ++flow->repeats;
+    if (const auto verdict = place_again(*flow, repeat_cause::timeout, now)) {
+      due_.push_back({*verdict, flow->opening});
+    }
+  }
+}
+
+void forwarder::note_unanswered(const open_flow& flow, time_point now) {
+  if (!flow.counted || flow.sent_at < evidence_from_) {
+    return;
+  }
+  ability_.on_failed(now);
+  if (placement_.on_unanswered(flow.upstream, flow.sent_at, now)) {
+    observer_.on_silent(flow, directory_.at(flow.upstream),
+                        placement_.unanswered(flow.upstream), now);
+  }
+}
+
+}  // namespace rosemarydrum
