Share what messages, routes and lines about upstreams repeated

Change: detail::to_packed and read_packed, route_table::route_of, no_items(), fields_of(), forget_silence(). Behaviour, limits and tests as before.

--- a/apps/forwarder/flow_journal.cc
+++ b/apps/forwarder/flow_journal.cc
@@ -11,6 +11,13 @@
   return static_cast<std::size_t>(reason);
 }
 
+json::object fields_of(const open_flow& flow, const known_upstream& upstream) {
+  return {{"upstream", text_of(upstream.record.key)},
+          {"service", upstream.record.service},
+          {"data_centre", upstream.record.data_centre},
+          {"flow", text_of(flow.ends)}};
+}
+
 }  // namespace
 
 json::object flow_journal::with_belief(json::object fields,
@@ -149,12 +156,9 @@
                              time_point now) {
   ++metrics_.upstreams_silent;
   log_.log(event_id::upstream_silent, now, [&] {
-    return with_belief({{"upstream", text_of(upstream.record.key)},
-                        {"service", upstream.record.service},
-                        {"data_centre", upstream.record.data_centre},
-                        {"flow", text_of(flow.ends)},
-                        {"unanswered", unanswered}},
-                       now);
+    auto fields = fields_of(flow, upstream);
+    fields["unanswered"] = unanswered;
+    return with_belief(std::move(fields), now);
   });
 }
 
@@ -163,12 +167,9 @@
                               time_point now) {
   ++metrics_.upstreams_answered;
   log_.log(event_id::upstream_answers, now, [&] {
-    return with_belief({{"upstream", text_of(upstream.record.key)},
-                        {"service", upstream.record.service},
-                        {"data_centre", upstream.record.data_centre},
-                        {"flow", text_of(flow.ends)},
-                        {"spared_ms", whole_ms(spared)}},
-                       now);
+    auto fields = fields_of(flow, upstream);
+    fields["spared_ms"] = whole_ms(spared);
+    return with_belief(std::move(fields), now);
   });
 }
 
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -71,8 +71,8 @@
 
   /// The upstream's entry has changed.
   void on_record(upstream_index upstream);
-  /// This process was cut off: silence says nothing of the upstreams.
-  void on_reconnected();
+  /// No upstream counts as silent, as when the cause was this process.
+  void forget_silence();
   void forget(upstream_index upstream);
 
   std::uint32_t in_flight(upstream_index upstream) const;
--- a/include/rosemarydrum/forwarding/route_table.h
+++ b/include/rosemarydrum/forwarding/route_table.h
@@ -4,10 +4,17 @@
 #include <unordered_map>
 
 #include "rosemarydrum/forwarding/fleet_configuration.h"
+#include "rosemarydrum/forwarding/flow_packet.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
 
+/// Where a configuration sends a flow; nullptr where it does not say.
+struct flow_route {
+  const route* from = nullptr;
+  const route_target* target = nullptr;
+};
+
 /// The routes of one configuration by address.
 class route_table {
  public:
@@ -16,6 +23,8 @@
 
   /// Nullptr if no route has this address.
   const route* find(const endpoint& address) const;
+  /// The route of a flow, and the target that it always has.
+  flow_route route_of(const flow_ends& flow) const;
   /// The service of a target; one without settings if it is not listed.
   const fleet_service& service(const std::string& name) const;
   /// The longest time that an upstream of any service is cold.
--- a/include/rosemarydrum/spread/replica_spread.h
+++ b/include/rosemarydrum/spread/replica_spread.h
@@ -92,6 +92,8 @@
   void ask_for_missing(time_point now, spread_output& out);
   bool may_fetch(time_point now, const spread_output& out) const;
   void fetch(const fetch_request& request, spread_output& out);
+  /// Says up to where all is known, and shows nothing of it.
+  item_listing no_items() const;
   spread_message message_of(item_listing listing, time_point now) const;
   std::vector<endpoint> neighbours() const;
   void choose_reading(time_point now);
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -132,13 +132,9 @@
 
 packet_verdict forwarder::refuse(const flow_packet& packet, fate_reason reason,
                                  time_point now) {
-  const auto* found = routes_.find(packet.flow.service);
-  const auto* target = found == nullptr
-                           ? nullptr
-                           : route_table::target_for(
-                                 *found, std::hash<flow_ends>{}(packet.flow));
+  const auto [from, target] = routes_.route_of(packet.flow);
   const auto service = target == nullptr ? std::string() : target->service;
-  observer_.on_refused(packet, reason, found == nullptr ? "" : found->name,
+  observer_.on_refused(packet, reason, from == nullptr ? "" : from->name,
                        service, placement_.census(service, now), now);
   return {packet_fate::reset, reason, {}, {}, {}};
 }
--- a/src/forwarding/forwarder_knowledge.cc
+++ b/src/forwarding/forwarder_knowledge.cc
@@ -29,7 +29,7 @@
   }
   if (news.reconnected) {
     // What was seen while this process was cut off says nothing of upstreams.
-    placement_.on_reconnected();
+    placement_.forget_silence();
     ability_.reset();
   }
   for (const auto& change : news.changes) {
@@ -102,7 +102,7 @@
   if (was_unable && !is_unable_) {
     // If nearly nothing answered, that says little of single upstreams, and
     // none was tried since.
-    placement_.on_reconnected();
+    placement_.forget_silence();
   }
   directory_.forget_gone(now, [this](upstream_index index) {
     flows_.erase_if(
--- a/src/forwarding/forwarder_openings.cc
+++ b/src/forwarding/forwarder_openings.cc
@@ -44,11 +44,7 @@
 packet_verdict forwarder::refuse_opening(const flow_packet& packet,
                                          time_point now) {
   ability_.on_failed(now);
-  const auto* found = routes_.find(packet.flow.service);
-  const auto* target = found == nullptr
-                           ? nullptr
-                           : route_table::target_for(
-                                 *found, std::hash<flow_ends>{}(packet.flow));
+  const auto* target = routes_.route_of(packet.flow).target;
   if (target != nullptr &&
       placement_.census(target->service, now).unreachable > 0) {
     return discard(packet, fate_reason::unreachable, now);
@@ -60,11 +56,7 @@
     open_flow& flow, std::optional<upstream_index> before, bool may_repeat,
     time_point now) {
   end(flow);
-  const auto* found = routes_.find(flow.ends.service);
-  const auto* target =
-      found == nullptr
-          ? nullptr
-          : route_table::target_for(*found, std::hash<flow_ends>{}(flow.ends));
+  const auto [from, target] = routes_.route_of(flow.ends);
   const auto chosen =
       target == nullptr
           ? std::nullopt
@@ -81,8 +73,8 @@
   flow.upstream = chosen->upstream;
   flow.counted = true;
   flow.choice = *chosen;
-  flow.route = found->name;
-  flow.objective = found->objective;
+  flow.route = from->name;
+  flow.objective = from->objective;
   flow.sent_at = now;
   ++flow.attempts;
   openings_.push_back({now + handshake_timeout, flow.ends, now});
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -180,7 +180,7 @@
   of(upstream).health.reset();
 }
 
-void placement::on_reconnected() {
+void placement::forget_silence() {
   for (auto& loaded : loads_) {
     loaded.health.reset();
   }
--- a/src/forwarding/route_table.cc
+++ b/src/forwarding/route_table.cc
@@ -27,6 +27,13 @@
   return found == by_address_.end() ? nullptr : found->second;
 }
 
+flow_route route_table::route_of(const flow_ends& flow) const {
+  const auto* from = find(flow.service);
+  return {from, from == nullptr
+                    ? nullptr
+                    : target_for(*from, std::hash<flow_ends>{}(flow))};
+}
+
 const fleet_service& route_table::service(const std::string& name) const {
   static const fleet_service unlisted;
   const auto found = by_name_.find(name);
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -135,13 +135,11 @@
 void replica_spread::answer(const endpoint& to, revision after, time_point now,
                             spread_output& out) const {
   auto listing = replica_.since(after);
-  if (listing.complete) {
-    // Too much for datagrams: the gap makes the asker fetch it.
-    listing = {{}, false, replica_.at(), replica_.at()};
-  }
-  auto parts = detail::datagram_parts(std::move(listing));
+  auto parts = listing.complete ? std::vector{no_items()}
+                                : detail::datagram_parts(std::move(listing));
   if (parts.size() > longest_answer_datagrams) {
-    parts = {{{}, false, replica_.at(), replica_.at()}};
+    // The gap makes the asker fetch what it lacks.
+    parts = {no_items()};
   }
   for (auto& part : parts) {
     out.datagrams.push_back({{to}, message_of(std::move(part), now)});
@@ -155,15 +153,16 @@
   if (to.empty()) {
     return;
   }
-  item_listing listing = shown;
-  if (listing.complete) {
-    listing = {{}, false, replica_.at(), replica_.at()};
-  }
-  for (auto& part : detail::datagram_parts(std::move(listing))) {
+  for (auto& part :
+       detail::datagram_parts(shown.complete ? no_items() : shown)) {
     out.datagrams.push_back({to, message_of(std::move(part), now)});
   }
 }
 
+item_listing replica_spread::no_items() const {
+  return {{}, false, replica_.at(), replica_.at()};
+}
+
 spread_message replica_spread::message_of(item_listing listing,
                                           time_point now) const {
   bulletin told;
@@ -183,7 +182,7 @@
 void replica_spread::tick(time_point now, spread_output& out) {
   choose_reading(now);
   if (reads_ && now >= next_bulletin_) {
-    publish({{}, false, replica_.at(), replica_.at()}, now, out);
+    publish(no_items(), now, out);
   }
   if (!is_fresh(now) && now >= next_inquiry_) {
     inquire(now, out);
@@ -281,7 +280,7 @@
 void replica_spread::leave(time_point now, spread_output& out) {
   leaving_ = true;
   if (std::exchange(reads_, false)) {
-    publish({{}, false, replica_.at(), replica_.at()}, now, out);
+    publish(no_items(), now, out);
   }
 }
 
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -1,22 +1,11 @@
 #include "rosemarydrum/spread/spread_message.h"
 
-#include <capnp/message.h>
-#include <capnp/serialize-packed.h>
-#include <kj/exception.h>
-#include <kj/io.h>
-
-#include "quiet_callback.h"
+#include "packed_message.h"
 #include "spread.capnp.h"
 
 namespace rosemarydrum {
 namespace {
 
-// Packing shrinks runs of zeros up to 1,000 times, so the unpacked size has
-// its own bound.
-constexpr std::uint64_t max_unpacked_words = 4 * max_spread_message / 8;
-// The deepest message is list, element, text.
-constexpr int max_nesting = 8;
-
 void write(const kv_item& item, wire::StoreItem::Builder to) {
   to.setKey(item.key);
   to.setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(item.value.data()),
@@ -78,39 +67,28 @@
   } else {
     root.getKind().setInquiry();
   }
-  kj::VectorOutputStream out;
-  capnp::writePackedMessage(out, builder);
-  const auto written = out.getArray();
-  return {written.begin(), written.end()};
+  return detail::to_packed(builder);
 }
 
 std::optional<spread_message> decode_spread_message(bytes_view encoded) {
-  if (encoded.empty() || encoded.size() > max_spread_message) {
-    return std::nullopt;
-  }
-  const detail::quiet_callback quiet;
-  try {
-    kj::ArrayInputStream in(kj::arrayPtr(encoded.data(), encoded.size()));
-    capnp::PackedMessageReader reader(
-        in, capnp::ReaderOptions{max_unpacked_words, max_nesting});
-    const auto root = reader.getRoot<wire::SpreadMessage>();
-    spread_message message;
-    message.sender = root.getSender().cStr();
-    message.run = incarnation(root.getRun());
-    message.at = revision(root.getAt());
-    message.logical_time = root.getLogicalTime();
-    switch (root.getKind().which()) {
-      case wire::SpreadMessage::Kind::BULLETIN:
-        message.body = read(root.getKind().getBulletin());
-        return message;
-      case wire::SpreadMessage::Kind::INQUIRY:
-        message.body = inquiry{};
-        return message;
-    }
-  } catch (const kj::Exception&) {
-    // Malformed; the caller counts it.
-  }
-  return std::nullopt;
+  return detail::read_packed<wire::SpreadMessage>(
+      encoded, max_spread_message,
+      [](wire::SpreadMessage::Reader root) -> std::optional<spread_message> {
+        spread_message message;
+        message.sender = root.getSender().cStr();
+        message.run = incarnation(root.getRun());
+        message.at = revision(root.getAt());
+        message.logical_time = root.getLogicalTime();
+        switch (root.getKind().which()) {
+          case wire::SpreadMessage::Kind::BULLETIN:
+            message.body = read(root.getKind().getBulletin());
+            return message;
+          case wire::SpreadMessage::Kind::INQUIRY:
+            message.body = inquiry{};
+            return message;
+        }
+        return std::nullopt;
+      });
 }
 
 }  // namespace rosemarydrum
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -147,7 +147,7 @@
   const auto first = add(1, "north");
   make_silent(first, start);
   BOOST_CHECK_EQUAL(tested.census("desk", start).unreachable, 1U);
-  tested.on_reconnected();
+  tested.forget_silence();
   BOOST_CHECK(choose(at(10)) == upstream_key(1));
 }
 
