Let new requests spill while their decider may grant nothing

Cause: after a take-over without a hand-over a decider grants nothing of cold upstreams until the grants of the last one must have ended, 1.5 s of lease and 3.1 s later.

Change: an ask says that it may spill, after 500 ms at home; a decider that may grant nothing refuses it for now, and the owner asks the other data centres, then its own again every 80 ms.

--- a/include/rosemarydrum/balancer/peer_message.h
+++ b/include/rosemarydrum/balancer/peer_message.h
@@ -65,6 +65,9 @@
   std::uint32_t time_left_ms = 0;
   /// The asker's data centre; others than the decider's ask for spill.
   data_centre_id data_centre{};
+  /// Another data centre may take it, so that it need not wait while nothing of
+  /// this one may be granted.
+  bool may_spill = false;
   friend bool operator==(const slot_ask&, const slot_ask&) = default;
 };
 
@@ -79,6 +82,8 @@
   incarnation upstream_run{};
   /// The request must have ended this long after the ask.
   std::uint32_t run_time_ms = 0;
+  /// With `no_capacity`: only for now; an ask without `may_spill` would wait.
+  bool may_wait = false;
   friend bool operator==(const slot_answer&, const slot_answer&) = default;
 };
 
--- a/include/rosemarydrum/requests/request_owner.h
+++ b/include/rosemarydrum/requests/request_owner.h
@@ -43,6 +43,10 @@
   /// intervals and a tick of 10 ms must be less than `grant_validity`, or
   /// grants for asks that waited in the decider's queue would be void.
   milliseconds ask_interval{80};
+  /// A request waits this long for a decider that may grant nothing before it
+  /// goes to another data centre: one that starts with its cell soon knows all
+  /// grants.
+  milliseconds spill_patience{500};
   /// Recorded again at the witness when it has not answered for this long.
   milliseconds record_interval{50};
   /// Finished requests are kept this long, so that repeats get the same answer.
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -62,6 +62,7 @@
   timeLeftMs @9 :UInt32;
   dataCentre @10 :UInt16;
   request @11 :UInt64;
+  maySpill @12 :Bool;
 }
 
 struct SlotAnswer {
@@ -72,6 +73,7 @@
   upstream @4 :UInt32;
   upstreamRun @5 :UInt64;
   runTimeMs @6 :UInt32;
+  mayWait @7 :Bool;
 }
 
 struct SlotRelease {
--- a/src/balancer/peer_read.cc
+++ b/src/balancer/peer_read.cc
@@ -54,6 +54,7 @@
   m.pinned = upstream_id(in.getPinned());
   m.time_left_ms = in.getTimeLeftMs();
   m.data_centre = data_centre_id(in.getDataCentre());
+  m.may_spill = in.getMaySpill();
   return get_numbers(in.getAvoid(), m.avoid);
 }
 
@@ -65,6 +66,7 @@
   m.upstream = upstream_id(in.getUpstream());
   m.upstream_run = incarnation(in.getUpstreamRun());
   m.run_time_ms = in.getRunTimeMs();
+  m.may_wait = in.getMayWait();
   return true;
 }
 
--- a/src/balancer/peer_write.cc
+++ b/src/balancer/peer_write.cc
@@ -33,6 +33,7 @@
   write_ids(m.avoid, out.initAvoid(m.avoid.size()));
   out.setTimeLeftMs(m.time_left_ms);
   out.setDataCentre(value_of(m.data_centre));
+  out.setMaySpill(m.may_spill);
 }
 
 void put(const slot_answer& m, body_builder to) {
@@ -44,6 +45,7 @@
   out.setUpstream(value_of(m.upstream));
   out.setUpstreamRun(value_of(m.upstream_run));
   out.setRunTimeMs(m.run_time_ms);
+  out.setMayWait(m.may_wait);
 }
 
 void put(const slot_release& m, body_builder to) {
--- a/src/requests/request_attempt.h
+++ b/src/requests/request_attempt.h
@@ -21,6 +21,7 @@
 struct request_attempt {
   attempt_phase phase = attempt_phase::asking;
   bool is_hedge = false;
+  time_point began;
 
   std::uint64_t ask = 0;
   /// The latest two copies of the ask. The decider may have answered either,
@@ -29,6 +30,8 @@
   time_point previous_ask;
   /// 0: asks in the own data centre; n: in the n-th one of `spill_to`.
   std::size_t spill = 0;
+  /// A data centre that has refused it may take it later.
+  bool may_recover = false;
 
   balancer_run decider;
   grant_id grant{};
--- a/src/requests/request_owner_slots.cc
+++ b/src/requests/request_owner_slots.cc
@@ -42,6 +42,7 @@
                                          time_point now, actions& out) {
   attempt& a = entry.attempts.emplace_back();
   a.is_hedge = is_hedge;
+  a.began = now;
   a.ask = ++next_ask;
   by_ask.emplace(a.ask, entry.request.key);
   a.asked_at = now;
@@ -71,19 +72,27 @@
     }
   }
   message.ask.time_left_ms = whole_ms(entry.deadline - now);
+  message.ask.may_spill = entry.request.pinned == upstream_id{} &&
+                          !entry.request.spill_to.empty() &&
+                          now - a.began >= settings.spill_patience;
   if (a.spill > 0) {
     message.spill_to = request.spill_to[a.spill - 1];
   }
   out.emplace_back(std::move(message));
 }
 
-void request_owner::state::renew_ask(active& entry, attempt& a, time_point now,
-                                     actions& out) {
+void request_owner::state::number_ask(const active& entry, attempt& a,
+                                      time_point now) {
   by_ask.erase(a.ask);
   a.phase = attempt_phase::asking;
   a.ask = ++next_ask;
   by_ask.emplace(a.ask, entry.request.key);
   a.asked_at = now;
+}
+
+void request_owner::state::renew_ask(active& entry, attempt& a, time_point now,
+                                     actions& out) {
+  number_ask(entry, a, now);
   ask_again(entry, a, now, out);
 }
 
@@ -115,7 +124,7 @@
     if (granted) {
       state_->on_grant(*entry, *a, decider, answer, now, out);
     } else {
-      state_->on_ask_refused(*entry, *a, answer.error, now, out);
+      state_->on_ask_refused(*entry, *a, answer, now, out);
     }
   } else if (granted) {
     out.emplace_back(release_slot{release_of(answer), decider});
@@ -123,8 +132,10 @@
 }
 
 void request_owner::state::on_ask_refused(active& entry, attempt& a,
-                                          error_kind error, time_point now,
-                                          actions& out) {
+                                          const slot_answer& refusal,
+                                          time_point now, actions& out) {
+  const auto error = refusal.error;
+  a.may_recover = refusal.may_wait || (a.spill > 0 && a.may_recover);
   if (entry.attempts.size() > 1) {
     end_attempt(entry, a, attempt_outcome::unused, false, now, out);
   } else if (error == error_kind::in_progress) {
@@ -132,13 +143,25 @@
     const request_key key = entry.request.key;
     end_attempt(entry, a, attempt_outcome::unused, false, now, out);
     running.erase(key);
-  } else if (error == error_kind::no_capacity &&
-             a.spill < entry.request.spill_to.size()) {
+  } else if (error != error_kind::no_capacity ||
+             !spill_on(entry, a, now, out)) {
+    refuse_active(entry, error, now, out);
+  }
+}
+
+bool request_owner::state::spill_on(active& entry, attempt& a, time_point now,
+                                    actions& out) {
+  if (a.spill < entry.request.spill_to.size()) {
     ++a.spill;
     renew_ask(entry, a, now, out);
-  } else {
-    refuse_active(entry, error, now, out);
+    return true;
+  }
+  if (a.may_recover) {
+    a.spill = 0;
+    number_ask(entry, a, now);
+    return true;
   }
+  return false;
 }
 
 void request_owner::state::on_grant(active& entry, attempt& a,
--- a/src/requests/request_owner_state.h
+++ b/src/requests/request_owner_state.h
@@ -46,11 +46,15 @@
   /// Sends the ask once more under its number.
   void ask_again(active& entry, attempt& a, time_point now, actions& out);
   /// Asks under a new number; answers to the old one are void.
+  /// Answers to the former number no longer count. Asked when it is due.
+  void number_ask(const active& entry, attempt& a, time_point now);
   void renew_ask(active& entry, attempt& a, time_point now, actions& out);
   void ask_record(active& entry, time_point now, actions& out);
   /// May finish the request.
-  void on_ask_refused(active& entry, attempt& a, error_kind error,
+  void on_ask_refused(active& entry, attempt& a, const slot_answer& refusal,
                       time_point now, actions& out);
+  /// Asks in the next data centre, or in all again if one of them may recover.
+  bool spill_on(active& entry, attempt& a, time_point now, actions& out);
   /// May finish the request.
   void on_grant(active& entry, attempt& a, balancer_run decider,
                 const slot_answer& answer, time_point now, actions& out);
--- a/src/slots/service_slots.cc
+++ b/src/slots/service_slots.cc
@@ -211,6 +211,13 @@
                      [&](const auto& known) { return is_free(known, rules); });
 }
 
+bool service_slots::may_grant(const grant_rules& rules) const {
+  return std::any_of(upstreams_.begin(), upstreams_.end(),
+                     [&](const auto& known) {
+                       return known.open && usable_limit(known, rules) > 0;
+                     });
+}
+
 void service_slots::expect_latency(upstream_slots& cold) const {
   if (cold.health.usual_latency() != duration{}) {
     return;
--- a/src/slots/service_slots.h
+++ b/src/slots/service_slots.h
@@ -40,6 +40,8 @@
   /// Whether a slot is free beyond the reserve of one in `spill_reserve`.
   bool may_spill(const grant_rules& rules, int spill_reserve) const;
   bool has_free(const grant_rules& rules) const;
+  /// Whether any slot may be granted now or when one in use is released.
+  bool may_grant(const grant_rules& rules) const;
 
   upstream_slots* find(upstream_id upstream);
   std::vector<upstream_slots>& upstreams() { return upstreams_; }
--- a/src/slots/slot_table.cc
+++ b/src/slots/slot_table.cc
@@ -81,7 +81,7 @@
       return;
     case slot_authority::share:
       if (from.id != state_->settings.self.id) {
-        state_->send_refusal(key, error_kind::no_capacity, out);
+        state_->send_refusal(key, error_kind::no_capacity, true, out);
         return;
       }
       break;
--- a/src/slots/slot_table_state.cc
+++ b/src/slots/slot_table_state.cc
@@ -80,6 +80,9 @@
   } else if (spill) {
     // The owner can try the next data centre at once.
     refuse(key, error_kind::no_capacity, now, out);
+  } else if (ask.may_spill && !service.may_grant(rules)) {
+    // Not kept, so that a repeated ask is decided anew.
+    send_refusal(key, error_kind::no_capacity, true, out);
   } else {
     enqueue(service, key, ask, deadline, now, out);
   }
@@ -96,12 +99,19 @@
       break;
     case ask_progress::answered:
       if (record.error != error_kind::none) {
-        send_refusal(key, record.error, out);
+        send_refusal(key, record.error, false, out);
       }
       break;
     case ask_progress::waiting: {
       auto& waiting = services.at(record.service).queue().waiting();
       const auto found = waiting.find(record.position);
+      if (ask.may_spill && !services.at(record.service)
+                                .may_grant(rules_of(record.service, now))) {
+        waiting.erase(found);
+        history.forget(key);
+        send_refusal(key, error_kind::no_capacity, true, out);
+        break;
+      }
       found->second.last_asked = now;
       found->second.ask.time_left_ms = ask.time_left_ms;
       break;
@@ -148,14 +158,15 @@
 void slot_table::state::refuse(const ask_key& key, error_kind error,
                                time_point now, actions& out) {
   history.finish(key, error, now);
-  send_refusal(key, error, out);
+  send_refusal(key, error, false, out);
 }
 
 void slot_table::state::send_refusal(const ask_key& key, error_kind error,
-                                     actions& out) {
+                                     bool may_wait, actions& out) {
   slot_answer answer;
   answer.ask = key.ask;
   answer.error = error;
+  answer.may_wait = may_wait;
   out.emplace_back(send_to_peer{key.from.id, key.from.run, answer});
 }
 
--- a/src/slots/slot_table_state.h
+++ b/src/slots/slot_table_state.h
@@ -52,7 +52,8 @@
              const detail::waiting_ask& waiting, time_point now, actions& out);
   void refuse(const detail::ask_key& key, error_kind error, time_point now,
               actions& out);
-  void send_refusal(const detail::ask_key& key, error_kind error, actions& out);
+  void send_refusal(const detail::ask_key& key, error_kind error, bool may_wait,
+                    actions& out);
   void send_grant(const detail::granted_slot& slot, time_point last_asked,
                   actions& out);
 
--- a/test/peer_message-test.cc
+++ b/test/peer_message-test.cc
@@ -81,7 +81,8 @@
                       upstream_id(any32()),
                       any_list([] { return upstream_id(any32()); }),
                       any32(),
-                      data_centre_id(any16())};
+                      data_centre_id(any16()),
+                      any_bool()};
     },
     +[]() -> peer_body {
       return slot_answer{
@@ -91,7 +92,8 @@
           service_id(any32()),
           upstream_id(any32()),
           incarnation(any()),
-          any32()};
+          any32(),
+          any_bool()};
     },
     +[]() -> peer_body {
       return slot_release{grant_id(any()),
--- a/test/request_owner-test.cc
+++ b/test/request_owner-test.cc
@@ -186,6 +186,48 @@
               error_kind::token_expired);
 }
 
+// Guards against a request that waits at home for its whole deadline while
+// another data centre could take it, against one that leaves home while a
+// decider starts, and against one that is given up although its home may
+// recover.
+BOOST_FIXTURE_TEST_CASE(spills_again_while_home_may_recover,
+                        request_owner_fixture) {
+  auto r = request(1, false);
+  r.spill_to = {data_centre_id(2)};
+  start(r);
+  pass(milliseconds(480));
+  for (const auto& each : take<ask_slot>()) {
+    BOOST_TEST(!each.ask.may_spill);
+  }
+  pass(milliseconds(100));
+  auto asked = take<ask_slot>().back();
+  for (int round = 0; round < 3; ++round) {
+    BOOST_TEST(asked.ask.may_spill);
+    BOOST_TEST(!asked.spill_to.has_value());
+    refuse_slot(asked.ask.ask, error_kind::no_capacity, true);
+    const auto spill = take<ask_slot>().at(0);
+    BOOST_CHECK(spill.spill_to == data_centre_id(2));
+    refuse_slot(spill.ask.ask, error_kind::no_capacity);
+    BOOST_TEST(out.empty());
+    pass(milliseconds(80));
+    asked = take<ask_slot>().at(0);
+  }
+}
+
+// Guards against an established flow that is refused because its upstream's
+// data centre has no decider at the moment.
+BOOST_FIXTURE_TEST_CASE(pinned_elsewhere_waits_for_a_decider,
+                        request_owner_fixture) {
+  auto r = request(1, false);
+  r.pinned = upstream_id(100);
+  r.spill_to = {data_centre_id(2)};
+  refuse_slot(start(r), error_kind::no_capacity);
+  refuse_slot(take<ask_slot>().at(0).ask.ask, error_kind::no_capacity, true);
+  BOOST_TEST(out.empty());
+  pass(milliseconds(80));
+  BOOST_TEST(!take<ask_slot>().at(0).spill_to.has_value());
+}
+
 // Guards against a false "not run" when there is no room to keep it.
 BOOST_FIXTURE_TEST_CASE(full_table_claims_nothing, request_owner_fixture) {
   request_owner small(settings(1), tokens, 1);
--- a/test/request_owner_fixture.h
+++ b/test/request_owner_fixture.h
@@ -74,9 +74,10 @@
                           10'000},
                          now, out);
   }
-  void refuse_slot(std::uint64_t ask, error_kind error) {
-    owner.on_slot_answer(slot_decider, {ask, error, {}, service_1, {}, {}, 0},
-                         now, out);
+  void refuse_slot(std::uint64_t ask, error_kind error, bool may_wait = false) {
+    owner.on_slot_answer(slot_decider,
+                         {ask, error, {}, service_1, {}, {}, 0, may_wait}, now,
+                         out);
   }
   void record(const owned_request& r, bool recorded = true) {
     owner.on_record_answer(record_witness, {r.key, recorded}, now, out);
--- a/test/slot_table-test.cc
+++ b/test/slot_table-test.cc
@@ -223,6 +223,26 @@
   BOOST_CHECK_LE(failed, 8);
 }
 
+// Guards against asks that wait in vain while a new decider may grant nothing,
+// although another data centre may take them.
+BOOST_AUTO_TEST_CASE(asks_spill_while_nothing_may_be_granted) {
+  table_fixture t(2, 2);
+  t.authority(slot_authority::sole, false, {balancer_id(3)});
+  auto ask = ask_of(1);
+  BOOST_TEST(t.ask(ask).empty());
+  // The one that waits, and its next copy.
+  ask.may_spill = true;
+  for (int copy = 0; copy < 2; ++copy) {
+    const auto answers = t.ask(ask);
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_CHECK(answers[0].error == error_kind::no_capacity);
+    BOOST_TEST(answers[0].may_wait);
+  }
+  // The books are complete: cold upstreams take one request each.
+  t.advance(3200);
+  BOOST_CHECK(only_error(t.ask(ask)) == error_kind::none);
+}
+
 // Guards against spill that takes the slots that the own data centre needs.
 BOOST_AUTO_TEST_CASE(spill_leaves_one_slot_in_four) {
   warm_table t(4, 4);
