Eject upstreams that fail flows though they answer handshakes

Cause: callers' packets show what upstreams answer, but nothing looked: an upstream that answers errors at once, or never, kept its share of the flows.

Three failures in some 2 s, and three times the mean of the service, eject an upstream until they are forgotten; at most a third of a service. One member sees 0.12 flows a second of an upstream, so members tell their reader every 100 ms and it tells all every 300 ms (failure_exchange).

Without sharing it was not measured: by the rate of flows a member alone would see its third failure after 25 s.

--- a/apps/command/explanation.cc
+++ b/apps/command/explanation.cc
@@ -13,9 +13,10 @@
 constexpr std::uint64_t context_ms = 15'000;
 
 /// Events of an upstream that explain what was decided about it.
-constexpr std::array<std::string_view, 5> upstream_events{
-    "upstream_listed", "upstream_unreadable", "upstream_gone",
-    "upstream_silent", "upstream_answers"};
+constexpr std::array<std::string_view, 7> upstream_events{
+    "upstream_listed",  "upstream_unreadable", "upstream_gone",
+    "upstream_silent",  "upstream_answers",    "upstream_ejected",
+    "upstream_restored"};
 /// Events of a process that explain how it decided.
 constexpr std::array<std::string_view, 17> process_events{
     "process_started",
@@ -159,6 +160,13 @@
               e.text("first_data_us") + " us, the rest at upstream " +
               e.text("upstream") + " and on the way back";
      }},
+    {"flow_failed",
+     [](const logged_event& e) {
+       return "failed at upstream " + e.text("upstream") + ": " +
+              e.text("answer_bytes") + " bytes of an answer after " +
+              e.text("waited_us") + " us, where most of the route have over " +
+              e.text("usual_bytes") + knowledge(e);
+     }},
 };
 
 std::vector<std::string> findings_of(const std::vector<logged_event>& events,
--- a/apps/forwarder/control_loop.cc
+++ b/apps/forwarder/control_loop.cc
@@ -45,7 +45,7 @@
   rings_.to_control.on_push([this] {
     asio::post(context_, [this] {
       rings_.to_control.drain(
-          [this](data_report&& report) { report_ = std::move(report); });
+          [this](data_report&& report) { take_report(std::move(report)); });
     });
   });
 }
@@ -79,6 +79,11 @@
   agent_.configure(std::move(seeds), longest_age);
 }
 
+void control_loop::take_report(data_report&& report) {
+  report_ = std::move(report);
+  agent_.on_failures(report_.failures);
+}
+
 void control_loop::set_log(std::uint32_t flows, event_severity severity) {
   log_.set_severity(severity);
   control_update update;
--- a/apps/forwarder/control_loop.h
+++ b/apps/forwarder/control_loop.h
@@ -59,6 +59,7 @@
   void on_registered(bool written, time_point now) override;
   void on_store(error_kind error, time_point now) override;
 
+  void take_report(data_report&& report);
   void wait_tick();
   void tick(time_point now);
   void wait_readable();
--- a/apps/forwarder/data_loop.cc
+++ b/apps/forwarder/data_loop.cc
@@ -165,7 +165,7 @@
     journal_.on_ability(unable, ability.opened(), ability.failed(),
                         ability.unable_until() - now, now);
   }
-  if (unable != was_unable_ || now >= next_report_) {
+  if (unable != was_unable_ || now >= next_report_ || core_.has_failures()) {
     was_unable_ = unable;
     report(now);
   }
@@ -185,7 +185,7 @@
 void data_loop::report(time_point now) {
   next_report_ = now + report_interval;
   metrics_.flows = core_.flow_count();
-  if (!rings_.to_control.push({was_unable_, metrics_})) {
+  if (!rings_.to_control.push({was_unable_, metrics_, core_.take_failures()})) {
     // The control thread is behind; it gets the next one.
     next_report_ = now + tick_interval;
   }
--- a/apps/forwarder/flow_journal.cc
+++ b/apps/forwarder/flow_journal.cc
@@ -1,5 +1,7 @@
 #include "forwarder/flow_journal.h"
 
+#include <cmath>
+
 #include "forwarder/log_fields.h"
 
 namespace rosemarydrum {
@@ -11,11 +13,16 @@
   return static_cast<std::size_t>(reason);
 }
 
-json::object fields_of(const open_flow& flow, const known_upstream& upstream) {
+json::object fields_of(const known_upstream& upstream) {
   return {{"upstream", text_of(upstream.record.key)},
           {"service", upstream.record.service},
-          {"data_centre", upstream.record.data_centre},
-          {"flow", text_of(flow.ends)}};
+          {"data_centre", upstream.record.data_centre}};
+}
+
+json::object fields_of(const open_flow& flow, const known_upstream& upstream) {
+  auto fields = fields_of(upstream);
+  fields["flow"] = text_of(flow.ends);
+  return fields;
 }
 
 }  // namespace
@@ -151,6 +158,39 @@
   });
 }
 
+void flow_journal::on_failed(const open_flow& flow,
+                             const known_upstream& upstream, double usual_bytes,
+                             time_point now) {
+  ++metrics_.flows_failed;
+  log_.log(event_id::flow_failed, now, [&] {
+    return with_belief({{"request", flow.request},
+                        {"flow", text_of(flow.ends)},
+                        {"route", flow.route},
+                        {"upstream", text_of(upstream.record.key)},
+                        {"service", upstream.record.service},
+                        {"answer_bytes", flow.answer_bytes()},
+                        {"usual_bytes", std::llround(usual_bytes)},
+                        {"waited_us", (now - flow.first_data_at).count()}},
+                       now);
+  });
+}
+
+void flow_journal::on_ejected(const known_upstream& upstream, double failures,
+                              time_point now) {
+  ++metrics_.upstreams_ejected;
+  log_.log(event_id::upstream_ejected, now, [&] {
+    auto fields = fields_of(upstream);
+    fields["failures"] = std::llround(failures);
+    return with_belief(std::move(fields), now);
+  });
+}
+
+void flow_journal::on_restored(const known_upstream& upstream, time_point now) {
+  ++metrics_.upstreams_restored;
+  log_.log(event_id::upstream_restored, now,
+           [&] { return with_belief(fields_of(upstream), now); });
+}
+
 void flow_journal::on_silent(const open_flow& flow,
                              const known_upstream& upstream, int unanswered,
                              time_point now) {
--- a/apps/forwarder/flow_journal.h
+++ b/apps/forwarder/flow_journal.h
@@ -37,6 +37,11 @@
                     time_point now) override;
   void on_ended(const open_flow& flow, const known_upstream& upstream,
                 time_point now) override;
+  void on_failed(const open_flow& flow, const known_upstream& upstream,
+                 double usual_bytes, time_point now) override;
+  void on_ejected(const known_upstream& upstream, double failures,
+                  time_point now) override;
+  void on_restored(const known_upstream& upstream, time_point now) override;
   void on_silent(const open_flow& flow, const known_upstream& upstream,
                  int unanswered, time_point now) override;
   void on_answers(const open_flow& flow, const known_upstream& upstream,
--- a/apps/forwarder/forwarder_metrics.h
+++ b/apps/forwarder/forwarder_metrics.h
@@ -24,6 +24,10 @@
   std::uint64_t flows_opened = 0;
   std::uint64_t flows_ended = 0;
   std::uint64_t flows_unanswered = 0;
+  /// Placed here and not answered well.
+  std::uint64_t flows_failed = 0;
+  std::uint64_t upstreams_ejected = 0;
+  std::uint64_t upstreams_restored = 0;
   std::uint64_t upstreams_silent = 0;
   std::uint64_t upstreams_answered = 0;
   std::uint64_t stalls = 0;
--- a/apps/forwarder/forwarder_rings.h
+++ b/apps/forwarder/forwarder_rings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <vector>
 
 #include "forwarder/forwarder_metrics.h"
 #include "io/bounded_ring.h"
@@ -22,6 +23,8 @@
   /// Callers should be sent to other forwarders.
   bool unable = false;
   data_metrics metrics;
+  /// Flows that failed since the last report.
+  std::vector<upstream_failures> failures;
 };
 
 /// Joins the threads of the forwarder.
--- a/apps/forwarder/metrics_text.cc
+++ b/apps/forwarder/metrics_text.cc
@@ -47,6 +47,9 @@
   page.counter("flows_opened", data.flows_opened);
   page.counter("flows_ended", data.flows_ended);
   page.counter("flows_unanswered", data.flows_unanswered);
+  page.counter("flows_failed", data.flows_failed);
+  page.counter("upstreams_ejected", data.upstreams_ejected);
+  page.counter("upstreams_restored", data.upstreams_restored);
   page.counter("upstreams_silent", data.upstreams_silent);
   page.counter("upstreams_answered", data.upstreams_answered);
   page.counter("stalls", data.stalls);
--- a/include/rosemarydrum/events/event_record.h
+++ b/include/rosemarydrum/events/event_record.h
@@ -48,6 +48,8 @@
   upstream_gone = 412,
   upstream_silent = 413,
   upstream_answers = 414,
+  upstream_ejected = 415,
+  upstream_restored = 416,
   request_refused = 500,
   request_retried = 501,
   request_hedged = 502,
@@ -64,6 +66,7 @@
   flow_unanswered = 703,
   flow_discarded = 704,
   flow_slow = 705,
+  flow_failed = 706,
   service_unable = 710,
   service_able = 711,
 };
--- a/include/rosemarydrum/forwarding/fleet_agent.h
+++ b/include/rosemarydrum/forwarding/fleet_agent.h
@@ -8,6 +8,7 @@
 #include "rosemarydrum/error_kind.h"
 #include "rosemarydrum/forwarding/fleet_schema.h"
 #include "rosemarydrum/forwarding/fleet_update.h"
+#include "rosemarydrum/spread/failure_exchange.h"
 #include "rosemarydrum/spread/member_registration.h"
 #include "rosemarydrum/spread/replica_spread.h"
 #include "rosemarydrum/store/item_replica.h"
@@ -56,6 +57,8 @@
                   time_point now);
   /// A fetch has ended; nullopt if it has failed.
   void on_fetched(const std::optional<spread_message>& answer, time_point now);
+  /// Flows that were placed by this process and have failed.
+  void on_failures(const std::vector<upstream_failures>& seen);
   /// The process has not run for a while; messages that waited are old.
   void on_stall(time_point now);
   /// A planned stop: other members take over.
@@ -76,6 +79,9 @@
  private:
   void on_listing(const item_listing& shown, time_point asked);
   void carry_out(spread_output& out);
+  void tell_failures(time_point now);
+  /// An update that says only how old is what is known.
+  fleet_update empty_update() const;
   void pass_on(const std::vector<kv_item>& fresh, time_point now);
   /// The change that the item stands for; nullopt if it is none.
   std::optional<fleet_change> decode(const kv_item& item, time_point now);
@@ -85,6 +91,9 @@
   fleet_agent_host& host_;
   item_replica replica_;
   replica_spread spread_;
+  incarnation run_;
+  std::string name_;
+  failure_exchange failures_;
   store_follower follower_;
   value_reader values_;
   member_registration registration_;
--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "rosemarydrum/forwarding/answer_baseline.h"
 #include "rosemarydrum/forwarding/fleet_update.h"
 #include "rosemarydrum/forwarding/flow_codec.h"
 #include "rosemarydrum/forwarding/flow_packet.h"
@@ -41,6 +42,9 @@
 /// Times that a flow's opening packet is repeated here.
 inline constexpr int most_repeats = 2;
 
+/// A request without any answer for this long has failed.
+inline constexpr milliseconds answer_timeout{1000};
+
 /// Decides where the packets of callers go. Has no I/O and reads no clock.
 class forwarder {
  public:
@@ -61,6 +65,10 @@
   void on_stall(duration stalled, time_point now);
   /// Forgets flows and upstreams whose time has passed.
   void tick(time_point now);
+  /// Flows that were placed here and have failed since the last call, for the
+  /// other members.
+  std::vector<upstream_failures> take_failures();
+  bool has_failures() const { return !failures_.empty(); }
 
   const upstream_directory& directory() const { return directory_; }
   const route_table& routes() const { return routes_; }
@@ -74,6 +82,12 @@
     time_point sent_at;
   };
 
+  struct waiting_answer {
+    time_point due;
+    flow_ends ends;
+    time_point asked_at;
+  };
+
   struct held_packet {
     time_point came_at;
     bytes datagram;
@@ -96,6 +110,11 @@
   void end(open_flow& flow);
   void note_unanswered(const open_flow& flow, time_point now);
   void note_data(open_flow& flow, const flow_packet& packet, time_point now);
+  void end_answered(open_flow& flow, time_point now);
+  void check_answers(time_point now);
+  void note_failure(open_flow& flow, time_point now);
+  void on_failures(upstream_index upstream, std::uint32_t count,
+                   time_point now);
   packet_verdict refuse_opening(const flow_packet& packet, time_point now);
   packet_verdict refuse(const flow_packet& packet, fate_reason reason,
                         time_point now);
@@ -129,6 +148,10 @@
   bool is_unable_ = false;
   open_flows flows_;
   std::deque<waiting_opening> openings_;
+  std::deque<waiting_answer> answers_;
+  /// By the route's name.
+  std::map<std::string, answer_baseline> baselines_;
+  std::vector<upstream_failures> failures_;
   std::vector<held_packet> held_;
   std::vector<delayed_packet> due_;
 };
--- a/include/rosemarydrum/forwarding/forwarder_observer.h
+++ b/include/rosemarydrum/forwarding/forwarder_observer.h
@@ -51,6 +51,16 @@
   virtual void on_ended(const open_flow& /*flow*/,
                         const known_upstream& /*upstream*/,
                         time_point /*now*/) {}
+  /// The answer to a request of a flow that was placed here is far shorter than
+  /// most of its route (`usual_bytes`), or has not come in time.
+  virtual void on_failed(const open_flow& /*flow*/,
+                         const known_upstream& /*upstream*/,
+                         double /*usual_bytes*/, time_point /*now*/) {}
+  /// `failures`: those of the data centre's callers that are not forgotten yet.
+  virtual void on_ejected(const known_upstream& /*upstream*/,
+                          double /*failures*/, time_point /*now*/) {}
+  virtual void on_restored(const known_upstream& /*upstream*/,
+                           time_point /*now*/) {}
   virtual void on_silent(const open_flow& /*flow*/,
                          const known_upstream& /*upstream*/, int /*unanswered*/,
                          time_point /*now*/) {}
--- a/include/rosemarydrum/forwarding/open_flows.h
+++ b/include/rosemarydrum/forwarding/open_flows.h
@@ -48,8 +48,17 @@
   time_point first_data_at;
   /// Id of its first request; empty if it has none.
   std::string request;
+  /// What its caller has acknowledged when it opened, and since.
+  std::uint32_t first_acknowledged = 0;
+  std::uint32_t acknowledged = 0;
+  /// Its answer has been found to be good or not.
+  bool judged = false;
 
   bool was_placed_here() const { return attempts > 0; }
+  /// Bytes of answers that have reached its caller.
+  std::uint32_t answer_bytes() const {
+    return acknowledged - first_acknowledged;
+  }
 };
 
 /// A flow without packets for this long is forgotten: it has ended, it is idle
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -6,8 +6,10 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "rosemarydrum/forwarding/failing_upstreams.h"
 #include "rosemarydrum/forwarding/fleet_configuration.h"
 #include "rosemarydrum/forwarding/fleet_share.h"
 #include "rosemarydrum/forwarding/flow_time_estimate.h"
@@ -69,6 +71,20 @@
   /// Returns true if the upstream has become silent.
   bool on_unanswered(upstream_index upstream, time_point sent, time_point now);
 
+  /// So many flows of the upstream have failed. Returns true if it is ejected:
+  /// it gets new flows only if no other upstream can take them.
+  bool on_failures(upstream_index upstream, std::uint32_t failures,
+                   time_point now);
+  /// Failures of the upstream that are not forgotten yet.
+  double failures(upstream_index upstream, time_point now) const {
+    return failing_.level(upstream, now);
+  }
+  /// Calls `restored` with each ejected upstream that may get flows again.
+  template <typename Restored>
+  void restore_ejected(time_point now, Restored&& restored) {
+    failing_.restore(now, std::forward<Restored>(restored));
+  }
+
   /// The upstream's entry has changed.
   void on_record(upstream_index upstream);
   /// No upstream counts as silent, as when the cause was this process.
@@ -102,6 +118,7 @@
   placement_settings settings_;
   const upstream_directory& directory_;
   fleet_share share_;
+  failing_upstreams failing_;
   std::set<std::string, std::less<>> out_;
   time_point confirmed_;
   std::vector<load> loads_;
--- /dev/null
+++ b/include/rosemarydrum/forwarding/upstream_failures.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+#include "rosemarydrum/forwarding/upstream_record.h"
+
+namespace rosemarydrum {
+
+/// Flows that failed at one upstream since the last count.
+struct upstream_failures {
+  upstream_key upstream{};
+  std::uint32_t count = 0;
+
+  friend bool operator==(const upstream_failures&,
+                         const upstream_failures&) = default;
+};
+
+}  // namespace rosemarydrum
--- a/include/rosemarydrum/spread/reader_choice.h
+++ b/include/rosemarydrum/spread/reader_choice.h
@@ -31,11 +31,13 @@
   /// Members of the own data centre that read the store before this one.
   std::size_t rank() const;
   /// Whether a member that comes before this one reads the store.
-  bool is_covered(time_point now) const;
+  bool is_covered(time_point now) const { return reader(now) != nullptr; }
+  /// That member; nullptr if there is none.
+  const member_record* reader(time_point now) const;
 
  private:
   /// What was last heard of a member that reads the store.
-  struct reader {
+  struct heard_reader {
     time_point fresh_at;
     bool leaving = false;
   };
@@ -46,7 +48,7 @@
 
   const member_record& self_;
   const member_map& members_;
-  std::map<std::string, reader> readers_;
+  std::map<std::string, heard_reader> readers_;
 };
 
 }  // namespace rosemarydrum
--- a/include/rosemarydrum/spread/replica_spread.h
+++ b/include/rosemarydrum/spread/replica_spread.h
@@ -72,6 +72,10 @@
   const member_map& members() const { return members_; }
   /// Changes whenever a member comes or goes.
   std::uint64_t members_version() const { return members_version_; }
+  /// The members of the own data centre but for this one.
+  std::vector<endpoint> neighbours() const;
+  /// The member that reads the store for this one; nullopt if none is known.
+  std::optional<endpoint> reader(time_point now) const;
   /// Another member, in the own data centre or in others; nullopt if none is
   /// known.
   std::optional<member_record> random_member(bool near);
@@ -95,7 +99,6 @@
   /// Says up to where all is known, and shows nothing of it.
   item_listing no_items() const;
   spread_message message_of(item_listing listing, time_point now) const;
-  std::vector<endpoint> neighbours() const;
   void choose_reading(time_point now);
 
   spread_settings settings_;
--- a/include/rosemarydrum/spread/spread_message.h
+++ b/include/rosemarydrum/spread/spread_message.h
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "rosemarydrum/requests/packet.h"
+#include "rosemarydrum/spread/failure_report.h"
 #include "rosemarydrum/store/item_replica.h"
 #include "rosemarydrum/types.h"
 
@@ -32,7 +33,7 @@
   incarnation run{};
   /// All changes up to this revision are known to the sender.
   revision at{};
-  std::variant<bulletin, inquiry> body;
+  std::variant<bulletin, inquiry, failure_report> body;
   /// Set by the host when the message is sent.
   std::uint64_t logical_time = 0;
 };
--- a/schema/spread.capnp
+++ b/schema/spread.capnp
@@ -14,6 +14,12 @@
   omitted @4 :Bool;
 }
 
+struct ReportedFailures {
+  reporter @0 :UInt64;
+  upstream @1 :UInt64;
+  count @2 :UInt32;
+}
+
 struct SpreadMessage {
   sender @0 :Text;
   run @1 :UInt64;
@@ -30,6 +36,7 @@
       shownAt @11 :UInt64;
     }
     inquiry @9 :Void;
+    failures @12 :List(ReportedFailures);
   }
   # Lamport clock of the sender.
   logicalTime @10 :UInt64;
--- a/src/events/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -147,6 +147,14 @@
      "`spared_ms`, because it may have been restarted.",
      "upstream service data_centre flow spared_ms configuration revision "
      "age_ms"},
+    {upstream_ejected, "upstream_ejected", warning,
+     "An upstream answers handshakes but fails far more flows of this data "
+     "centre's callers than others of its service. It gets new flows only if "
+     "nothing else can take them. `failures`: those not forgotten yet.",
+     "upstream service data_centre failures configuration revision age_ms"},
+    {upstream_restored, "upstream_restored", info,
+     "The failures of an ejected upstream are forgotten; it gets flows again.",
+     "upstream service data_centre configuration revision age_ms"},
     {request_refused, "request_refused", warning,
      "A request was refused; detail is the error's number.",
      "service flow request detail"},
@@ -215,6 +223,13 @@
      "to the caller's end of the flow.",
      "request flow route upstream service attempts handshake_us first_data_us "
      "duration_us objective_ms in_flight configuration revision age_ms"},
+    {flow_failed, "flow_failed", warning,
+     "The answer to a request is far shorter than most of its route, or has "
+     "not "
+     "begun in time, so that it counts against the upstream. `usual_bytes`: "
+     "three answers of four are longer.",
+     "request flow route upstream service answer_bytes usual_bytes waited_us "
+     "configuration revision age_ms"},
     {service_unable, "service_unable", warning,
      "Nearly all of the latest new flows have failed; this process "
      "reports itself not ready for `pause_ms`.",
--- a/src/forwarding/fleet_agent.cc
+++ b/src/forwarding/fleet_agent.cc
@@ -27,6 +27,9 @@
       host_(host),
       replica_(removal_memory),
       spread_(settings, replica_, now),
+      run_(settings.run),
+      name_(settings.self.name),
+      failures_(settings.run),
       follower_(store, replica_,
                 {.watch_wait = settings.longest_age * watch_percent / 100},
                 {[this](const item_listing& shown, time_point asked) {
@@ -53,6 +56,7 @@
   registration_.tick(now);
   note_registration(now);
   carry_out(out);
+  tell_failures(now);
   if (now >= next_sweep_) {
     next_sweep_ = now + sweep_interval;
     replica_.tick(now);
@@ -73,6 +77,12 @@
 
 void fleet_agent::on_message(const endpoint& from,
                              const spread_message& message, time_point now) {
+  if (const auto* report = std::get_if<failure_report>(&message.body)) {
+    auto update = empty_update();
+    update.failures = failures_.on_report(message.run, *report, reading_);
+    host_.update(std::move(update));
+    return;
+  }
   spread_output out;
   spread_.on_message(from, message, now, out);
   carry_out(out);
@@ -85,6 +95,34 @@
   carry_out(out);
 }
 
+void fleet_agent::on_failures(const std::vector<upstream_failures>& seen) {
+  failures_.add(seen);
+}
+
+void fleet_agent::tell_failures(time_point now) {
+  auto report = failures_.take(reading_, now);
+  if (!report) {
+    return;
+  }
+  std::vector<endpoint> to;
+  if (reading_) {
+    to = spread_.neighbours();
+  } else if (const auto reader = spread_.reader(now)) {
+    to.push_back(*reader);
+  }
+  if (!to.empty()) {
+    host_.send(
+        {std::move(to), {name_, run_, replica_.at(), std::move(*report), 0}});
+  }
+}
+
+fleet_update fleet_agent::empty_update() const {
+  fleet_update update;
+  update.known = replica_.at();
+  update.confirmed_at = replica_.confirmed_at();
+  return update;
+}
+
 void fleet_agent::on_stall(time_point now) { spread_.on_stall(now); }
 
 void fleet_agent::leave(time_point now) {
@@ -126,7 +164,7 @@
 }
 
 void fleet_agent::pass_on(const std::vector<kv_item>& fresh, time_point now) {
-  fleet_update news;
+  auto news = empty_update();
   const bool is_fresh_now = spread_.is_fresh(now);
   news.reconnected = is_fresh_now && !was_fresh_;
   was_fresh_ = is_fresh_now;
@@ -148,8 +186,6 @@
   if (!news.changes.empty() || news.members || news.reconnected ||
       now >= next_pass_) {
     next_pass_ = now + pass_interval;
-    news.known = replica_.at();
-    news.confirmed_at = replica_.confirmed_at();
     host_.update(std::move(news));
   }
 }
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -3,6 +3,18 @@
 #include <utility>
 
 namespace rosemarydrum {
+namespace {
+
+// Packets may overtake each other; the latest acknowledgement counts.
+void note_acknowledged(open_flow& flow, const flow_packet& packet) {
+  const auto further =
+      static_cast<std::int32_t>(packet.acknowledged - flow.acknowledged);
+  if (packet.acknowledges && !packet.resets && further > 0) {
+    flow.acknowledged = packet.acknowledged;
+  }
+}
+
+}  // namespace
 
 forwarder::forwarder(forwarder_settings settings, const flow_codec& codec,
                      forwarder_observer& observer)
@@ -74,16 +86,16 @@
     flow->last_packet = now;
     if (flow->stage == flow_stage::opening) {
       open(*flow, *upstream, now);
+      flow->first_acknowledged = flow->acknowledged = packet.acknowledged;
     }
+    note_acknowledged(*flow, packet);
     note_data(*flow, packet, now);
     if ((packet.finishes || packet.resets) &&
         flow->stage != flow_stage::ended) {
       end(*flow);
       flow->stage = flow_stage::ended;
       if (flow->was_placed_here()) {
-        if (flow->first_data_at != time_point{}) {
-          placement_.on_flow_time(*upstream, now - flow->first_data_at, now);
-        }
+        end_answered(*flow, now);
         observer_.on_ended(*flow, directory_.at(*upstream), now);
       }
     }
@@ -120,6 +132,7 @@
   }
   flow.first_data_at = now;
   flow.request = codec_.request_id(packet.data);
+  answers_.push_back({now + answer_timeout, flow.ends, now});
   observer_.on_opened(flow, directory_.at(flow.upstream), now);
 }
 
--- a/src/forwarding/forwarder_knowledge.cc
+++ b/src/forwarding/forwarder_knowledge.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "rosemarydrum/forwarding/forwarder.h"
@@ -35,6 +36,11 @@
   for (const auto& change : news.changes) {
     on_change(change, now);
   }
+  for (const auto& [key, count] : news.failures) {
+    if (const auto index = directory_.find(key)) {
+      on_failures(*index, count, now);
+    }
+  }
 }
 
 void forwarder::on_change(const fleet_change& change, time_point now) {
@@ -50,6 +56,11 @@
       }
       routes_changed_ = change.changed;
       routes_ = route_table(routes->value);
+      std::erase_if(baselines_, [&](const auto& entry) {
+        return std::none_of(
+            routes->value->routes.begin(), routes->value->routes.end(),
+            [&](const auto& each) { return each.name == entry.first; });
+      });
     }
   } else if (const auto* state =
                  std::get_if<data_centre_change>(&change.what)) {
@@ -76,6 +87,7 @@
 
 void forwarder::on_stall(duration stalled, time_point now) {
   openings_.clear();
+  answers_.clear();
   stall_ends_ = now;
   old_packets_until_ = now + backlog_time;
   if (stalled >= long_stall) {
@@ -92,6 +104,10 @@
 }
 
 void forwarder::tick(time_point now) {
+  check_answers(now);
+  placement_.restore_ejected(now, [this, now](upstream_index index) {
+    observer_.on_restored(directory_.at(index), now);
+  });
   flows_.expire(now, [this, now](open_flow& flow) {
     if (flow.stage == flow_stage::opening && flow.counted) {
       observer_.on_unanswered(flow, directory_.at(flow.upstream), now);
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -108,7 +108,8 @@
                        loaded.in_flight};
     ++candidates;
     const double rank = score(known, loaded, usual_time, now);
-    if (index == before || loaded.health.is_avoided(now)) {
+    if (index == before || loaded.health.is_avoided(now) ||
+        failing_.is_ejected(index)) {
       doubtful.offer(offer, rank, random_);
     } else if (is_cold) {
       cold.offer(offer, rank, random_);
@@ -176,6 +177,12 @@
   return became_silent;
 }
 
+bool placement::on_failures(upstream_index upstream, std::uint32_t failures,
+                            time_point now) {
+  const auto& service = directory_.at(upstream).record.service;
+  return failing_.add(upstream, failures, directory_.of_service(service), now);
+}
+
 void placement::on_record(upstream_index upstream) {
   of(upstream).health.reset();
 }
@@ -186,7 +193,10 @@
   }
 }
 
-void placement::forget(upstream_index upstream) { of(upstream) = {}; }
+void placement::forget(upstream_index upstream) {
+  of(upstream) = {};
+  failing_.forget(upstream);
+}
 
 std::uint32_t placement::in_flight(upstream_index upstream) const {
   const auto position = value_of(upstream);
--- a/src/spread/reader_choice.cc
+++ b/src/spread/reader_choice.cc
@@ -58,7 +58,7 @@
   return rank;
 }
 
-bool reader_choice::is_covered(time_point now) const {
+const member_record* reader_choice::reader(time_point now) const {
   for (const auto& [name, heard] : readers_) {
     const auto member = members_.find(name);
     if (member != members_.end() && !heard.leaving &&
@@ -66,10 +66,10 @@
         heard.fresh_at != time_point{} &&
         member->second.data_centre == self_.data_centre &&
         comes_before(member->second)) {
-      return true;
+      return &member->second;
     }
   }
-  return false;
+  return nullptr;
 }
 
 duration reader_choice::takeover_age(milliseconds longest_age) const {
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -82,7 +82,8 @@
   }
   if (const auto* told = std::get_if<bulletin>(&message.body)) {
     on_bulletin(message, *told, now, out);
-  } else if (replica_.at() > message.at || is_fresh(now)) {
+  } else if (std::holds_alternative<inquiry>(message.body) &&
+             (replica_.at() > message.at || is_fresh(now))) {
     answer(from, message.at, now, out);
   }
 }
@@ -288,6 +289,11 @@
   return now - replica_.confirmed_at() < settings_.longest_age / 2;
 }
 
+std::optional<endpoint> replica_spread::reader(time_point now) const {
+  const auto* member = choice_.reader(now);
+  return member == nullptr ? std::nullopt : std::optional(member->address);
+}
+
 std::vector<endpoint> replica_spread::neighbours() const {
   std::vector<endpoint> to;
   for (const auto& [name, member] : members_) {
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -53,6 +53,27 @@
   return told;
 }
 
+void write(const failure_report& report,
+           wire::SpreadMessage::Kind::Builder to) {
+  auto entries = to.initFailures(static_cast<unsigned>(report.entries.size()));
+  for (unsigned i = 0; i < entries.size(); ++i) {
+    const auto& [reporter, seen] = report.entries[i];
+    entries[i].setReporter(value_of(reporter));
+    entries[i].setUpstream(value_of(seen.upstream));
+    entries[i].setCount(seen.count);
+  }
+}
+
+failure_report read(capnp::List<wire::ReportedFailures>::Reader from) {
+  failure_report report;
+  for (const auto entry : from) {
+    report.entries.push_back(
+        {incarnation(entry.getReporter()),
+         {upstream_key(entry.getUpstream()), entry.getCount()}});
+  }
+  return report;
+}
+
 }  // namespace
 
 bytes encode(const spread_message& message) {
@@ -64,6 +85,8 @@
   root.setLogicalTime(message.logical_time);
   if (const auto* told = std::get_if<bulletin>(&message.body)) {
     write(*told, root.getKind().initBulletin());
+  } else if (const auto* report = std::get_if<failure_report>(&message.body)) {
+    write(*report, root.getKind());
   } else {
     root.getKind().setInquiry();
   }
@@ -86,6 +109,9 @@
           case wire::SpreadMessage::Kind::INQUIRY:
             message.body = inquiry{};
             return message;
+          case wire::SpreadMessage::Kind::FAILURES:
+            message.body = read(root.getKind().getFailures());
+            return message;
         }
         return std::nullopt;
       });
--- /dev/null
+++ b/test/failing_upstreams-test.cc
@@ -0,0 +1,68 @@
+#define BOOST_TEST_MODULE failing_upstreams
+#include "rosemarydrum/forwarding/failing_upstreams.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace rosemarydrum {
+namespace {
+
+constexpr time_point start{seconds(100)};
+
+struct fixture {
+  bool fail(std::uint32_t upstream, std::uint32_t count,
+            time_point now = start) {
+    return tested.add(upstream_index(upstream), count, service, now);
+  }
+
+  std::vector<upstream_index> service{upstream_index(0), upstream_index(1),
+                                      upstream_index(2), upstream_index(3),
+                                      upstream_index(4), upstream_index(5),
+                                      upstream_index(6), upstream_index(7)};
+  failing_upstreams tested;
+};
+
+// Guards against an upstream that goes on failing flows because it answers
+// handshakes, and against one that is given up for a few callers' failures.
+BOOST_FIXTURE_TEST_CASE(outliers_are_ejected, fixture) {
+  BOOST_CHECK(!fail(3, 2));
+  BOOST_CHECK(!tested.is_ejected(upstream_index(3)));
+  BOOST_CHECK(fail(3, 1));
+  BOOST_CHECK(tested.is_ejected(upstream_index(3)));
+  BOOST_CHECK(!fail(3, 1));
+  BOOST_CHECK(!tested.is_ejected(upstream_index(2)));
+}
+
+// Guards against capacity that is lost when all upstreams fail alike, as when
+// all are overloaded or the way back to callers is cut.
+BOOST_FIXTURE_TEST_CASE(failures_of_all_eject_none, fixture) {
+  for (int round = 0; round < 10; ++round) {
+    for (std::uint32_t upstream = 0; upstream < 8; ++upstream) {
+      BOOST_CHECK(!fail(upstream, 1));
+    }
+  }
+}
+
+// Guards against more ejected upstreams than the others can replace.
+BOOST_FIXTURE_TEST_CASE(at_most_a_third_is_ejected, fixture) {
+  BOOST_CHECK(fail(0, 20));
+  BOOST_CHECK(fail(1, 20));
+  BOOST_CHECK(!fail(2, 20));
+}
+
+// Guards against upstreams that stay out after they have recovered.
+BOOST_FIXTURE_TEST_CASE(ejected_upstreams_return, fixture) {
+  fail(3, 5);
+  std::vector<upstream_index> restored;
+  const auto note = [&](upstream_index each) { restored.push_back(each); };
+  tested.restore(start + seconds(2), note);
+  BOOST_CHECK(restored.empty());
+  tested.restore(start + seconds(6), note);
+  BOOST_CHECK(restored == std::vector{upstream_index(3)});
+  BOOST_CHECK(!tested.is_ejected(upstream_index(3)));
+  BOOST_CHECK(fail(3, 3, start + seconds(6)));
+  tested.forget(upstream_index(3));
+  BOOST_CHECK(!tested.is_ejected(upstream_index(3)));
+}
+
+}  // namespace
+}  // namespace rosemarydrum
--- a/test/fleet/fake_callers.cc
+++ b/test/fleet/fake_callers.cc
@@ -102,7 +102,7 @@
       }
       return;
     case answer_kind::response:
-      send(*run, test_packets::fin | test_packets::ack, 2, {});
+      send(*run, test_packets::fin | test_packets::ack, 1 + answer.bytes, {});
       finish(run, true);
       return;
     case answer_kind::reset:
--- a/test/fleet/fake_upstream.h
+++ b/test/fleet/fake_upstream.h
@@ -24,6 +24,7 @@
   std::string upstream;
   /// After it took the packet.
   duration delay{0};
+  std::uint32_t bytes = 0;
 };
 
 /// An upstream by the platform's protocol: takes packets that name it, opens
@@ -55,11 +56,11 @@
     if (packet->opens) {
       openings.push_back(runtime_clock::now());
       flows_[packet->flow] = false;
-      return {{answer_kind::handshake, packet->flow, tag, id, duration(0)}};
+      return {{answer_kind::handshake, packet->flow, tag, id, duration(0), 0}};
     }
     const auto known = flows_.find(packet->flow);
     if (known == flows_.end()) {
-      return {{answer_kind::reset, packet->flow, tag, id, duration(0)}};
+      return {{answer_kind::reset, packet->flow, tag, id, duration(0), 0}};
     }
     if (packet->finishes || packet->resets) {
       flows_.erase(known);
@@ -69,7 +70,11 @@
       return {};
     }
     ++requests;
-    return {{answer_kind::response, packet->flow, tag, id, work}};
+    if (fails) {
+      return {{answer_kind::response, packet->flow, tag, id, duration(0),
+               error_bytes}};
+    }
+    return {{answer_kind::response, packet->flow, tag, id, work, whole_bytes}};
   }
 
   /// Starts anew in place: knows no flows, and is cold.
@@ -100,6 +105,8 @@
   std::uint64_t key;
   platform_texts::entry entry;
   bool alive = true;
+  /// It answers each request with an error, at once.
+  bool fails = false;
   duration work = milliseconds(50);
   std::vector<time_point> openings;
   int requests = 0;
@@ -107,6 +114,9 @@
   int malformed = 0;
 
  private:
+  static constexpr std::uint32_t error_bytes = 150;
+  static constexpr std::uint32_t whole_bytes = 4000;
+
   platform::packet_codec codec_;
   /// Whether the flow's request has run.
   std::map<flow_ends, bool> flows_;
--- a/test/fleet/test_node.h
+++ b/test/fleet/test_node.h
@@ -35,7 +35,7 @@
               codec, observer_),
         agent_(client, schema_,
                {self,
-                incarnation(1),
+                incarnation(std::hash<std::string>{}(self.name)),
                 {},
                 longest_age,
                 std::hash<std::string>{}(self.name)},
@@ -49,6 +49,7 @@
       core_.on_stall(now - last_tick_, now);
     }
     last_tick_ = now;
+    agent_.on_failures(core_.take_failures());
     agent_.tick(now);
     repeat(now);
     core_.tick(now);
--- a/test/fleet_rules-test.cc
+++ b/test/fleet_rules-test.cc
@@ -486,5 +486,24 @@
   BOOST_CHECK_LE(late(milliseconds(300)), 2U);
 }
 
+// Guards against upstreams that answer handshakes and fail requests, while each
+// forwarder sees too few of their flows to judge them alone.
+BOOST_FIXTURE_TEST_CASE(failing_upstreams_are_found_together, three_centres) {
+  load(30, seconds(6));
+  run_for(seconds(5));
+  upstreams.at("a1")->fails = true;
+  const auto began = clock.now();
+  load(30, seconds(8));
+  run_for(seconds(8));
+  // 90 requests a second come to nine upstreams.
+  BOOST_CHECK_LE(upstreams.at("a1")->openings_since(began + seconds(2)), 30U);
+  upstreams.at("a1")->fails = false;
+  run_for(seconds(6));
+  const auto healed = clock.now();
+  load(30, seconds(4));
+  run_for(seconds(4));
+  BOOST_CHECK_GE(upstreams.at("a1")->openings_since(healed), 20U);
+}
+
 }  // namespace
 }  // namespace rosemarydrum
--- a/test/journal-test.cc
+++ b/test/journal-test.cc
@@ -89,6 +89,12 @@
      [](fixture& f) {
        f.flows.on_answers(f.flow, f.upstream, seconds(2), now());
      }},
+    {event_id::upstream_ejected,
+     [](fixture& f) { f.flows.on_ejected(f.upstream, 3.2, now()); }},
+    {event_id::upstream_restored,
+     [](fixture& f) { f.flows.on_restored(f.upstream, now()); }},
+    {event_id::flow_failed,
+     [](fixture& f) { f.flows.on_failed(f.flow, f.upstream, 2500, now()); }},
     {event_id::process_stalled,
      [](fixture& f) { f.flows.on_stall(seconds(1), now()); }},
     {event_id::service_unable,
@@ -230,7 +236,7 @@
     const auto number = static_cast<unsigned>(row.id);
     const bool is_forwarders =
         (number >= 104 && number <= 108) || (number >= 210 && number <= 214) ||
-        (number >= 320 && number <= 322) || (number >= 410 && number <= 414) ||
+        (number >= 320 && number <= 322) || (number >= 410 && number <= 416) ||
         number >= 700;
     BOOST_CHECK_MESSAGE(!is_forwarders || logged.contains(row.id), row.name);
   }
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -189,5 +189,24 @@
   BOOST_CHECK(!tested.choose(service.name, 0, first, false, start));
 }
 
+// Guards against flows to upstreams that fail them while others are left, and
+// against refusals when none are.
+BOOST_FIXTURE_TEST_CASE(ejected_upstreams_come_last, fixture) {
+  for (std::uint64_t key = 1; key <= 3; ++key) {
+    add(key, "north");
+  }
+  BOOST_CHECK(tested.on_failures(*directory.find(upstream_key(1)), 9, start));
+  for (int i = 0; i < 20; ++i) {
+    BOOST_CHECK(choose() != upstream_key(1));
+  }
+  tested.set_out("north", true);
+  BOOST_CHECK(choose() == upstream_key{});
+  tested.set_out("north", false);
+  for (const std::uint64_t key : {2, 3}) {
+    make_silent(*directory.find(upstream_key(key)), start);
+  }
+  BOOST_CHECK(choose() == upstream_key(1));
+}
+
 }  // namespace
 }  // namespace rosemarydrum
--- a/test/spread_message-test.cc
+++ b/test/spread_message-test.cc
@@ -42,6 +42,22 @@
   BOOST_CHECK(std::holds_alternative<inquiry>(asked->body));
 }
 
+// Guards against reports of failures that are lost, and against longer ones
+// than a datagram takes.
+BOOST_AUTO_TEST_CASE(reports_of_failures_survive_the_wire) {
+  failure_report report;
+  for (std::uint64_t i = 0; i < max_reported_failures; ++i) {
+    report.entries.push_back(
+        {incarnation(~i), {upstream_key(~i * 7), 0xffff'ffff}});
+  }
+  const auto encoded =
+      encode({"node-1", incarnation(5), revision(9), report, 1});
+  BOOST_CHECK_LE(encoded.size(), max_spread_datagram);
+  const auto got = decode_spread_message(encoded);
+  BOOST_REQUIRE(got);
+  BOOST_CHECK(std::get<failure_report>(got->body) == report);
+}
+
 // Guards against a datagram that ends the process: random bytes, and messages
 // with random changes.
 BOOST_AUTO_TEST_CASE(random_datagrams_are_refused_or_bounded) {
