Eject only upstreams that fail far more flows than all others

After a start of all machines every upstream is overloaded for two seconds.

Change: three failures more than three times the mean of all others.

--- a/src/forwarding/failing_upstreams.cc
+++ b/src/forwarding/failing_upstreams.cc
@@ -3,9 +3,10 @@
 namespace rosemarydrum {
 namespace {
 
-/// Fewer failures may be those of a few callers.
+/// Failures of an outlier: these, and so many times the mean of the others. All
+/// fail some flows while they are overloaded; taking out those that happen to
+/// fail a few more would overload the rest.
 constexpr double least_failures = 3;
-/// Failures of an outlier, relative to the mean of the service.
 constexpr double outlier_factor = 3;
 
 }  // namespace
@@ -28,20 +29,15 @@
 bool failing_upstreams::is_outlier(upstream_index upstream,
                                    std::span<const upstream_index> service,
                                    time_point now) const {
-  const double own = level(upstream, now);
-  if (own < least_failures) {
-    return false;
-  }
   double others = 0;
   std::size_t ejected = 0;
   for (const auto each : service) {
     ejected += is_ejected(each) ? 1 : 0;
-    // Those that are ejected say nothing of what is usual.
-    others += each == upstream || is_ejected(each) ? 0 : level(each, now);
+    others += each == upstream ? 0 : level(each, now);
   }
-  const auto usual = service.size() - ejected;
-  const double mean = usual > 1 ? others / static_cast<double>(usual - 1) : 0;
-  return own >= outlier_factor * mean &&
+  const double mean =
+      service.size() > 1 ? others / static_cast<double>(service.size() - 1) : 0;
+  return level(upstream, now) >= least_failures + outlier_factor * mean &&
          (ejected + 1) * ejected_part <= service.size();
 }
 
