Let forwarders start while the store is away

A process that starts asks the seeds; what they know does not fit into a datagram, and the asker fetched it only from members that it knew by name.

Change: it fetches from the address that the answer came from.

--- a/include/rosemarydrum/spread/replica_spread.h
+++ b/include/rosemarydrum/spread/replica_spread.h
@@ -86,8 +86,8 @@
   void take_in(const item_listing& shown, revision known, time_point confirmed,
                time_point now, spread_output& out);
   void update_members(const std::vector<kv_item>& fresh);
-  void on_bulletin(const spread_message& message, const bulletin& told,
-                   time_point now, spread_output& out);
+  void on_bulletin(const endpoint& from, const spread_message& message,
+                   const bulletin& told, time_point now, spread_output& out);
   void answer(const endpoint& to, revision after, time_point now,
               spread_output& out) const;
   void publish(const item_listing& shown, time_point now, spread_output& out);
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -81,24 +81,25 @@
     return;
   }
   if (const auto* told = std::get_if<bulletin>(&message.body)) {
-    on_bulletin(message, *told, now, out);
+    on_bulletin(from, message, *told, now, out);
   } else if (std::holds_alternative<inquiry>(message.body) &&
              (replica_.at() > message.at || is_fresh(now))) {
     answer(from, message.at, now, out);
   }
 }
 
-void replica_spread::on_bulletin(const spread_message& message,
+// Members take messages and connections at the same address. A process that has
+// just started may know none of them by name.
+void replica_spread::on_bulletin(const endpoint& from,
+                                 const spread_message& message,
                                  const bulletin& told, time_point now,
                                  spread_output& out) {
   const bool had_gap = told.listing.after > replica_.at();
   take_in(told.listing, message.at, now - told.age, now, out);
   if (had_gap && !told.listing.complete) {
     next_inquiry_ = std::min(next_inquiry_, now);
-    const auto sender = members_.find(message.sender);
-    if (told.listing.items.empty() && sender != members_.end() &&
-        may_fetch(now, out)) {
-      fetch({sender->second.address, fetch_kind::newer, replica_.at()}, out);
+    if (told.listing.items.empty() && may_fetch(now, out)) {
+      fetch({from, fetch_kind::newer, replica_.at()}, out);
     }
   }
   choice_.on_bulletin(message.sender, told, settings_.longest_age,
--- a/test/fleet/fleet_world.cc
+++ b/test/fleet/fleet_world.cc
@@ -13,6 +13,7 @@
 constexpr int misses_out_of_rotation = 2;
 constexpr milliseconds fetch_deadline{1500};
 constexpr std::uint16_t peer_port = 7700;
+constexpr std::size_t most_seeds = 3;
 
 }  // namespace
 
@@ -50,7 +51,10 @@
     // Calls that it has made may still be answered.
     former_.push_back(std::move(node));
   }
-  node = std::make_unique<test_node>(self, store, clock, wiring);
+  node = std::make_unique<test_node>(self, store, clock, wiring, seeds_);
+  if (seeds_.size() < most_seeds) {
+    seeds_.push_back(self.address);
+  }
   *process = node.get();
   wire(*node);
   return *node;
--- a/test/fleet/fleet_world.h
+++ b/test/fleet/fleet_world.h
@@ -91,6 +91,8 @@
   void fetch(test_node& asker, const fetch_request& request);
   void check_ready();
 
+  /// Instances that a new process may ask.
+  std::vector<endpoint> seeds_;
   std::vector<std::string> data_centres_;
   std::vector<std::unique_ptr<test_node>> former_;
   std::set<std::pair<std::string, std::string>> cuts_;
--- a/test/fleet/test_node.h
+++ b/test/fleet/test_node.h
@@ -25,7 +25,7 @@
   };
 
   test_node(const member_record& self, fake_kv_store& store, scheduler& time,
-            wiring to, milliseconds longest_age = milliseconds(3000))
+            wiring to, std::vector<endpoint> seeds = {})
       : record(self),
         client(store, time),
         to_(std::move(to)),
@@ -34,10 +34,8 @@
                .seed = std::hash<std::string>{}(self.name)},
               codec, observer_),
         agent_(client, schema_,
-               {self,
-                incarnation(std::hash<std::string>{}(self.name)),
-                {},
-                longest_age,
+               {self, incarnation(std::hash<std::string>{}(self.name)),
+                std::move(seeds), longest_age,
                 std::hash<std::string>{}(self.name)},
                *this, runtime_clock::now()),
         last_tick_(runtime_clock::now()) {}
@@ -104,6 +102,8 @@
   bool frozen = false;
 
  private:
+  static constexpr milliseconds longest_age{3000};
+
   void send(const spread_datagram& datagram) override { to_.send(datagram); }
   void fetch(const fetch_request& request) override { to_.fetch(request); }
   void update(fleet_update news) override {
--- a/test/fleet_rules-test.cc
+++ b/test/fleet_rules-test.cc
@@ -362,6 +362,26 @@
   BOOST_CHECK_EQUAL(late(milliseconds(300)), 0U);
 }
 
+// RECOVER: guards against forwarders that stay out of rotation until the store
+// is back although other members know everything.
+BOOST_FIXTURE_TEST_CASE(forwarders_may_start_without_the_store, three_centres) {
+  for (auto& [name, node] : nodes) {
+    node->client.fault = store_fault::silent;
+  }
+  for (const auto* name : {"north-2", "south-1"}) {
+    kill(name);
+    restart(name);
+    nodes.at(name)->client.fault = store_fault::silent;
+  }
+  run_for(seconds(2));
+  for (const auto* name : {"north-2", "south-1"}) {
+    BOOST_CHECK(nodes.at(name)->is_ready());
+  }
+  load(30, seconds(4));
+  run_for(seconds(6));
+  BOOST_CHECK_EQUAL(failed(), 0U);
+}
+
 // Guards against a forwarder that refuses callers because the entries of all
 // upstreams lapsed while the store was away.
 BOOST_FIXTURE_TEST_CASE(lapsed_entries_do_not_stop_service, three_centres) {
