--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -1,24 +1,21 @@
 #include "rosemarydrum/settings/settings.h"
 
 #include <boost/program_options.hpp>
-#include <map>
 #include <sstream>
 
-#include "rosemarydrum/address_text.h"
-#include "rosemarydrum/number_text.h"
+#include "settings/raw_values.h"
 #include "settings/settings_check.h"
+#include "settings/settings_file.h"
 
 namespace rosemarydrum {
 namespace {
 
 namespace po = boost::program_options;
+using detail::is_used_by;
+using detail::options_of;
+using detail::raw_values;
 using values = std::vector<std::string>;
 
-bool is_used_by(const setting_description& setting, program which) {
-  return setting.used_by == which ||
-         (setting.used_by == program::both && which != program::forwarder);
-}
-
 values split(const std::string& list) {
   values parts;
   std::istringstream stream(list);
@@ -28,53 +25,6 @@
   return parts;
 }
 
-po::options_description options_of(program which) {
-  po::options_description options("Settings");
-  auto add = options.add_options();
-  add("help,h", "Print this help.");
-  for (const auto& setting : setting_table()) {
-    if (is_used_by(setting, which)) {
-      std::string text(setting.text);
-      text += " Allowed: " + allowed_values(setting) + ".";
-      if (!setting.default_value.empty()) {
-        text += " Default: " + std::string(setting.default_value) + ".";
-      }
-      text += " Environment: " + environment_name(setting.name) + ".";
-      add(std::string(setting.name).c_str(), po::value<values>(), text.c_str());
-    }
-  }
-  return options;
-}
-
-/// The values by name, unchecked.
-class raw_values {
- public:
-  void add(const std::string& name, const values& given) {
-    auto& all = by_name_[name];
-    all.insert(all.end(), given.begin(), given.end());
-  }
-  const values& all(const std::string& name) { return by_name_[name]; }
-  /// The first value of a checked setting; empty if it has none.
-  std::string first(const std::string& name) {
-    const auto& given = by_name_[name];
-    return given.empty() ? std::string{} : given.front();
-  }
-  template <typename Number>
-  Number number(const std::string& name) {
-    return static_cast<Number>(parse_number(first(name)).value_or(0));
-  }
-  std::uint32_t thousandths(const std::string& name) {
-    return static_cast<std::uint32_t>(
-        parse_thousandths(first(name)).value_or(0));
-  }
-  endpoint address(const std::string& name) {
-    return parse_endpoint(first(name), 0).value_or(endpoint{});
-  }
-
- private:
-  std::map<std::string, values> by_name_;
-};
-
 /// The address `offset` ports above the data port; port 0 stays 0.
 std::variant<endpoint, field_error> derived(raw_values& raw,
                                             const std::string& name,
@@ -154,34 +104,13 @@
   return result;
 }
 
-/// The values of a settings file; those without a value are left out.
-std::variant<raw_values, field_error> read_file(
-    const po::options_description& options, const std::string& text) {
-  raw_values raw;
-  try {
-    std::istringstream stream(text);
-    for (const auto& option : po::parse_config_file(stream, options).options) {
-      for (const auto& value : option.value) {
-        if (!value.empty()) {
-          raw.add(option.string_key, {value});
-        }
-      }
-    }
-  } catch (const po::error& error) {
-    return field_error{"settings file", error.what(),
-                       "lines \"setting = value\" with the settings of --help",
-                       "correct the line"};
-  }
-  return raw;
-}
-
 }  // namespace
 
 std::variant<settings, field_error> load_settings(
     program which, const std::vector<std::string>& arguments,
     const environment& variables, const std::string& file_text) {
   const auto options = options_of(which);
-  auto in_file = read_file(options, file_text);
+  auto in_file = detail::read_settings_file(options, file_text);
   if (const auto* wrong = std::get_if<field_error>(&in_file)) {
     return *wrong;
   }
@@ -250,62 +179,6 @@
   return result;
 }
 
-namespace {
-
-constexpr std::string_view placeholder_begin = "{{";
-constexpr std::string_view placeholder_end = "}}";
-/// Stands for a value that is filled in later.
-constexpr std::string_view filled_in_later = "{{}}";
-
-/// `text` without section tags, and each value with a placeholder replaced.
-std::string without_placeholders(const std::string& text) {
-  std::string result;
-  std::istringstream stream(text);
-  for (std::string line; std::getline(stream, line);) {
-    bool has_value = false;
-    for (auto begin = line.find(placeholder_begin); begin != std::string::npos;
-         begin = line.find(placeholder_begin)) {
-      const auto end = line.find(placeholder_end, begin);
-      if (end == std::string::npos) {
-        break;
-      }
-      const auto kind = line[begin + placeholder_begin.size()];
-      has_value = has_value ||
-                  (kind != '#' && kind != '/' && kind != '^' && kind != ',');
-      line.erase(begin, end + placeholder_end.size() - begin);
-    }
-    if (const auto equals = line.find('=');
-        has_value && equals != std::string::npos) {
-      line = line.substr(0, equals + 1) + std::string(filled_in_later);
-    }
-    result += line + "\n";
-  }
-  return result;
-}
-
-}  // namespace
-
-std::optional<field_error> check_settings_template(program which,
-                                                   const std::string& text) {
-  auto read = read_file(options_of(which), without_placeholders(text));
-  if (const auto* wrong = std::get_if<field_error>(&read)) {
-    return *wrong;
-  }
-  auto& raw = std::get<raw_values>(read);
-  for (const auto& setting : setting_table()) {
-    if (!is_used_by(setting, which)) {
-      continue;
-    }
-    auto given = raw.all(std::string(setting.name));
-    const bool is_required = given.empty();
-    std::erase(given, filled_in_later);
-    if (auto wrong = detail::check_setting(setting, given, is_required)) {
-      return wrong;
-    }
-  }
-  return std::nullopt;
-}
-
 std::string settings_help(program which) {
   std::ostringstream text;
   text << options_of(which);
--- /dev/null
+++ b/src/settings/settings_file.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <boost/program_options/options_description.hpp>
+#include <string>
+#include <variant>
+
+#include "rosemarydrum/field_error.h"
+#include "rosemarydrum/settings/settings.h"
+#include "settings/raw_values.h"
+
+namespace rosemarydrum::detail {
+
+bool is_used_by(const setting_description& setting, program which);
+
+/// The settings of a program, as flags and as lines of a file.
+boost::program_options::options_description options_of(program which);
+
+/// The values of a settings file; those without a value are left out.
+std::variant<raw_values, field_error> read_settings_file(
+    const boost::program_options::options_description& options,
+    const std::string& text);
+
+}  // namespace rosemarydrum::detail
