--- a/test/deployment.h
+++ b/test/deployment.h
@@ -76,6 +76,14 @@
     return start("test/caller", flags);
   }
 
+  /// The events of all balancers that are left, in order.
+  std::vector<std::string> time_line() const {
+    const auto command =
+        start("apps/rosemarydrum", {"events", "--store", store_address_});
+    command->wait_exit(std::chrono::seconds(10));
+    return command->lines();
+  }
+
   process store;
   /// By data centre.
   std::map<int, process> fabrics;
--- /dev/null
+++ b/test/forwarder_fixture.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fleet/test_packets.h"
+#include "platform/packet_codec.h"
+#include "rosemarydrum/forwarding/forwarder.h"
+
+namespace rosemarydrum {
+
+/// Counts what it hears of.
+struct recording_observer : forwarder_observer {
+  void on_handshake(const open_flow&, time_point) override { ++handshakes; }
+  void on_opened(const open_flow& flow, const known_upstream&,
+                 time_point) override {
+    requests.push_back(flow.request);
+  }
+  void on_placed_again(const open_flow&, const known_upstream&,
+                       const known_upstream&, duration, repeat_cause cause,
+                       time_point) override {
+    causes.push_back(cause);
+  }
+  void on_refused(const flow_packet&, fate_reason reason, const std::string&,
+                  const std::string&, const upstream_census&,
+                  time_point) override {
+    refused.push_back(reason);
+  }
+  void on_unanswered(const open_flow&, const known_upstream&,
+                     time_point) override {
+    ++unanswered;
+  }
+  void on_discarded(const flow_packet&, fate_reason reason,
+                    time_point) override {
+    discarded.push_back(reason);
+  }
+  void on_ended(const open_flow&, const known_upstream&, time_point) override {
+    ++ended;
+  }
+  void on_silent(const open_flow&, const known_upstream&, int,
+                 time_point) override {
+    ++silent;
+  }
+  void on_answers(const open_flow&, const known_upstream&, duration,
+                  time_point) override {
+    ++answers;
+  }
+  void on_failed(const open_flow&, const known_upstream&, double,
+                 time_point) override {
+    ++failed;
+  }
+  void on_ejected(const known_upstream& upstream, double, time_point) override {
+    ejected.push_back(upstream.record.key);
+  }
+  void on_restored(const known_upstream&, time_point) override { ++restored; }
+
+  int handshakes = 0;
+  int unanswered = 0;
+  int ended = 0;
+  int silent = 0;
+  int answers = 0;
+  int failed = 0;
+  int restored = 0;
+  std::vector<upstream_key> ejected;
+  std::vector<std::string> requests;
+  std::vector<repeat_cause> causes;
+  std::vector<fate_reason> refused;
+  std::vector<fate_reason> discarded;
+};
+
+/// A forwarder with one route, and what it says.
+struct forwarder_fixture {
+  static constexpr time_point start{seconds(100)};
+  static time_point at(int ms) { return start + milliseconds(ms); }
+
+  forwarder_fixture() {
+    auto routes = std::make_shared<fleet_configuration>();
+    routes->version = 1;
+    routes->routes.push_back({"r-desk",
+                              test_packets::default_service,
+                              {{"desk", 1}},
+                              request_type::idempotent,
+                              milliseconds(1500),
+                              milliseconds(300),
+                              0});
+    routes->services.push_back({"desk", milliseconds(2000), 0});
+    // Long enough ago for the process to be in rotation.
+    change(configuration_change{routes}, start - seconds(10));
+  }
+
+  void change(decltype(fleet_change::what) what, time_point now = start) {
+    fleet_update news;
+    news.confirmed_at = start;
+    revision_ = revision(value_of(revision_) + 1);
+    news.changes.push_back({revision_, std::move(what)});
+    tested.on_update(news, now);
+  }
+
+  void add(std::uint64_t key, record_state state = record_state::present) {
+    change(upstream_change{state,
+                           {upstream_key(key),
+                            "desk",
+                            "north",
+                            {static_cast<std::uint32_t>(key), 80},
+                            4,
+                            false,
+                            milliseconds(0),
+                            incarnation(1)},
+                           milliseconds(0)});
+  }
+
+  packet_verdict take(const test_packets::head& from, time_point now,
+                      const std::string& data = {}) {
+    const auto datagram = test_packets::datagram_of(from, data);
+    return tested.on_packet(*codec.decode(datagram), now);
+  }
+
+  packet_verdict open(std::uint16_t port, time_point now) {
+    return take({test_packets::flow_of(port)}, now);
+  }
+  packet_verdict follow(std::uint16_t port, const packet_verdict& opened,
+                        time_point now, std::uint8_t flags = test_packets::ack,
+                        const std::string& data = {}) {
+    return take(
+        {test_packets::flow_of(port), flags, 8, 1, value_of(opened.tag)}, now,
+        data);
+  }
+
+  platform::packet_codec codec;
+  recording_observer seen;
+  forwarder tested{{.name = "node-1", .data_centre = "north"}, codec, seen};
+
+ private:
+  revision revision_{};
+};
+
+}  // namespace rosemarydrum
--- a/test/smoke-test.cc
+++ b/test/smoke-test.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE smoke
+#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <set>
@@ -159,6 +160,12 @@
   for (auto& from : callers) {
     check_results(from, results_of(*from.process), runs);
   }
+  const auto id = boost::unit_test::framework::current_test_case().p_id;
+  if (!boost::unit_test::results_collector.results(id).passed()) {
+    for (const auto& line : tested.time_line()) {
+      std::cout << line << '\n';
+    }
+  }
 }
 
 }  // namespace
