--- a/test/soak/soak_faults.cc
+++ b/test/soak/soak_faults.cc
@@ -2,16 +2,13 @@
 
 #include <csignal>
 
+#include "soak/store_faults.h"
+
 namespace rosemarydrum {
 namespace {
 
 using node_type = soak_fleet::forwarder_process;
 
-duration between(soak_fleet& fleet, int least_ms, int most_ms) {
-  const auto range = static_cast<std::uint64_t>(most_ms - least_ms);
-  return milliseconds(least_ms + static_cast<int>(fleet.random() % range));
-}
-
 node_type& any_node(soak_fleet& fleet) {
   return *fleet.nodes[fleet.random() % fleet.nodes.size()];
 }
@@ -41,13 +38,13 @@
 }
 
 duration kill_one(soak_fleet& fleet) {
-  const auto down = between(fleet, 200, 1500);
+  const auto down = random_between(fleet, 200, 1500);
   restart_after(fleet, any_node(fleet), down);
   return down;
 }
 
 duration kill_all(soak_fleet& fleet) {
-  const auto down = between(fleet, 200, 1000);
+  const auto down = random_between(fleet, 200, 1000);
   for (auto& node : fleet.nodes) {
     restart_after(fleet, *node, down);
   }
@@ -79,7 +76,7 @@
   if (!node.process || node.paused) {
     return duration(0);
   }
-  const auto time = between(fleet, 300, 5000);
+  const auto time = random_between(fleet, 300, 5000);
   node.paused = true;
   node.process->signal(SIGSTOP);
   fleet.checks.disturb(node.name, fleet.time.now() + time);
@@ -92,90 +89,12 @@
   return time;
 }
 
-duration harm_store_link(soak_fleet& fleet, link_fault fault, bool all) {
-  const auto time = between(fleet, 1000, 6000);
-  for (auto& node : fleet.nodes) {
-    if (all || fleet.random() % 3 == 0) {
-      node->store->set(fault);
-      fleet.time.after(time, [&node] { node->store->set(link_fault::none); });
-    }
-  }
-  fleet.checks.disturb_all(fleet.time.now() + time);
-  return time;
-}
-
-duration store_refused(soak_fleet& fleet) {
-  return harm_store_link(fleet, link_fault::reset, fleet.random() % 2 == 0);
-}
-duration store_silent(soak_fleet& fleet) {
-  return harm_store_link(fleet, link_fault::silent, fleet.random() % 2 == 0);
-}
-duration store_one_way(soak_fleet& fleet) {
-  return harm_store_link(fleet, link_fault::one_way, fleet.random() % 2 == 0);
-}
-duration store_slow(soak_fleet& fleet) {
-  return harm_store_link(fleet, link_fault::delayed, true);
-}
-
-duration silence_connections(soak_fleet& fleet) {
-  for (auto& node : fleet.nodes) {
-    node->store->silence_open_connections();
-  }
-  fleet.checks.disturb_all(fleet.time.now());
-  return duration(0);
-}
-
-duration deaf_watches(soak_fleet& fleet) {
-  fleet.store.watches_are_deaf = true;
-  fleet.time.after(seconds(1), [&fleet] {
-    fleet.store.watches_are_deaf = false;
-    fleet.store.drop_history();
-  });
-  fleet.checks.disturb_all(fleet.time.now() + seconds(1));
-  return seconds(1);
-}
-
-duration old_stale_reads(soak_fleet& fleet) {
-  fleet.store.stale_lag = seconds(5);
-  fleet.time.after(seconds(4),
-                   [&fleet] { fleet.store.stale_lag = duration(0); });
-  return seconds(4);
-}
-
-duration lapse(soak_fleet& fleet) {
-  const auto time = seconds(5);
-  for (auto& node : fleet.nodes) {
-    node->store->set(link_fault::silent);
-  }
-  fleet.checks.disturb_all(fleet.time.now() + time + seconds(2));
-  fleet.time.after(milliseconds(4500), [&fleet] {
-    for (auto& [digits, upstream] : fleet.upstreams) {
-      if (fleet.random() % 2 == 0) {
-        fleet.store.remove(platform_texts::upstream_key_of(upstream->id));
-      }
-    }
-  });
-  fleet.time.after(time, [&fleet] {
-    for (auto& node : fleet.nodes) {
-      node->store->set(link_fault::none);
-    }
-  });
-  fleet.time.after(time + milliseconds(1500), [&fleet] {
-    for (auto& [digits, upstream] : fleet.upstreams) {
-      if (upstream->alive) {
-        fleet.write_entry(*upstream);
-      }
-    }
-  });
-  return time + milliseconds(1500);
-}
-
 duration upstream_dies(soak_fleet& fleet) {
   auto* upstream = any_upstream(fleet, "desk");
   if (upstream == nullptr) {
     return duration(0);
   }
-  const auto time = between(fleet, 1000, 6000);
+  const auto time = random_between(fleet, 1000, 6000);
   upstream->alive = false;
   fleet.checks.on_disturbed_upstream(upstream->id, fleet.time.now());
   fleet.time.after(milliseconds(3600), [&fleet, upstream] {
@@ -245,7 +164,7 @@
   const auto key = platform_texts::evacuation_key(centre);
   fleet.store.put(key, "{}");
   fleet.checks.on_data_centre(centre, true, fleet.time.now());
-  const auto time = between(fleet, 3000, 9000);
+  const auto time = random_between(fleet, 3000, 9000);
   fleet.time.after(time, [&fleet, centre, key] {
     fleet.checks.on_data_centre(centre, false, fleet.time.now());
     fleet.store.remove(key);
