--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -13,7 +13,6 @@
 using test_packets::default_service;
 using test_packets::fin;
 using test_packets::flow_of;
-using test_packets::head;
 using test_packets::rst;
 using test_packets::syn;
 
