Use one fading count, one deadline of flows and one way to route in tests

Cause, found by reading the whole change again: failure_level repeated the fading that service_ability already had; waiting_opening and waiting_answer were one struct under two names; fleet_agent kept the member's name and run to build messages that replica_spread builds; start_attempt numbered an ask by hand beside renew_ask; the fabrics of the fleet's tests and of the soak chose a forwarder with the same loop.

Change: fading_count serves both; waiting_flow; replica_spread::message_with; start_attempt calls renew_ask; test/fleet/rotation.h. No behaviour, bound or assertion changes (failure_level-test is fading_count-test now).

--- a/include/rosemarydrum/forwarding/failing_upstreams.h
+++ b/include/rosemarydrum/forwarding/failing_upstreams.h
@@ -3,7 +3,7 @@
 #include <span>
 #include <vector>
 
-#include "rosemarydrum/forwarding/failure_level.h"
+#include "rosemarydrum/forwarding/fading_count.h"
 #include "rosemarydrum/forwarding/upstream_directory.h"
 #include "rosemarydrum/types.h"
 
@@ -40,9 +40,10 @@
 
  private:
   static constexpr double restored_level = 0.5;
+  static constexpr seconds failure_memory{2};
 
   struct entry {
-    failure_level failures;
+    fading_count failures{failure_memory};
     bool ejected = false;
   };
 
--- a/include/rosemarydrum/forwarding/fleet_agent.h
+++ b/include/rosemarydrum/forwarding/fleet_agent.h
@@ -91,8 +91,6 @@
   fleet_agent_host& host_;
   item_replica replica_;
   replica_spread spread_;
-  incarnation run_;
-  std::string name_;
   failure_exchange failures_;
   store_follower follower_;
   value_reader values_;
--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -76,18 +76,13 @@
   const service_ability& ability() const { return ability_; }
 
  private:
-  struct waiting_opening {
+  /// A flow that waits for an answer to what was sent at `sent_at`.
+  struct waiting_flow {
     time_point due;
     flow_ends ends;
     time_point sent_at;
   };
 
-  struct waiting_answer {
-    time_point due;
-    flow_ends ends;
-    time_point asked_at;
-  };
-
   struct held_packet {
     time_point came_at;
     bytes datagram;
@@ -147,8 +142,8 @@
   time_point evidence_from_;
   bool is_unable_ = false;
   open_flows flows_;
-  std::deque<waiting_opening> openings_;
-  std::deque<waiting_answer> answers_;
+  std::deque<waiting_flow> openings_;
+  std::deque<waiting_flow> answers_;
   /// By the route's name.
   std::map<std::string, answer_baseline> baselines_;
   std::vector<upstream_failures> failures_;
--- a/include/rosemarydrum/forwarding/service_ability.h
+++ b/include/rosemarydrum/forwarding/service_ability.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "rosemarydrum/forwarding/fading_count.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
@@ -26,17 +27,18 @@
 
   /// When it is tried again.
   time_point unable_until() const { return unable_until_; }
-  int opened() const { return static_cast<int>(opened_); }
-  int failed() const { return static_cast<int>(failed_); }
+  /// Of the latest flows, when the last one was judged.
+  int opened() const { return static_cast<int>(opened_.at(judged_at_)); }
+  int failed() const { return static_cast<int>(failed_.at(judged_at_)); }
 
  private:
-  void fade(time_point now);
+  static constexpr milliseconds flow_memory{200};
+
   void judge(time_point now);
 
-  /// Counts of the latest flows; older ones count less.
-  double opened_ = 0;
-  double failed_ = 0;
-  time_point faded_at_;
+  fading_count opened_{flow_memory};
+  fading_count failed_{flow_memory};
+  time_point judged_at_;
   time_point confirmed_;
   time_point unable_since_;
   time_point unable_until_;
--- a/include/rosemarydrum/spread/replica_spread.h
+++ b/include/rosemarydrum/spread/replica_spread.h
@@ -72,6 +72,8 @@
   const member_map& members() const { return members_; }
   /// Changes whenever a member comes or goes.
   std::uint64_t members_version() const { return members_version_; }
+  /// A message of this member.
+  spread_message message_with(decltype(spread_message::body) body) const;
   /// The members of the own data centre but for this one.
   std::vector<endpoint> neighbours() const;
   /// The member that reads the store for this one; nullopt if none is known.
--- /dev/null
+++ b/src/forwarding/fading_count.cc
@@ -0,0 +1,17 @@
+#include "rosemarydrum/forwarding/fading_count.h"
+
+#include <cmath>
+
+namespace rosemarydrum {
+
+void fading_count::add(double events, time_point now) {
+  count_ = at(now) + events;
+  updated_ = now;
+}
+
+double fading_count::at(time_point now) const {
+  const auto passed = static_cast<double>((now - updated_).count());
+  return count_ * std::exp(-passed / static_cast<double>(memory_.count()));
+}
+
+}  // namespace rosemarydrum
--- a/src/forwarding/fleet_agent.cc
+++ b/src/forwarding/fleet_agent.cc
@@ -27,8 +27,6 @@
       host_(host),
       replica_(removal_memory),
       spread_(settings, replica_, now),
-      run_(settings.run),
-      name_(settings.self.name),
       failures_(settings.run),
       follower_(store, replica_,
                 {.watch_wait = settings.longest_age * watch_percent / 100},
@@ -111,8 +109,7 @@
     to.push_back(*reader);
   }
   if (!to.empty()) {
-    host_.send(
-        {std::move(to), {name_, run_, replica_.at(), std::move(*report), 0}});
+    host_.send({std::move(to), spread_.message_with(std::move(*report))});
   }
 }
 
--- a/src/forwarding/forwarder_answers.cc
+++ b/src/forwarding/forwarder_answers.cc
@@ -30,7 +30,7 @@
     answers_.pop_front();
     auto* flow = flows_.find(next.ends);
     if (flow != nullptr && flow->stage == flow_stage::open &&
-        flow->first_data_at == next.asked_at && flow->answer_bytes() == 0) {
+        flow->first_data_at == next.sent_at && flow->answer_bytes() == 0) {
       note_failure(*flow, now);
     }
   }
--- a/src/forwarding/service_ability.cc
+++ b/src/forwarding/service_ability.cc
@@ -1,13 +1,10 @@
 #include "rosemarydrum/forwarding/service_ability.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace rosemarydrum {
 namespace {
 
-/// Time in which a flow loses most of its weight.
-constexpr double memory_us = 200e3;
 /// Fewer failures than this may be those of a few callers.
 constexpr double least_failures = 5;
 /// Failures for each opened flow that count as nearly all.
@@ -24,14 +21,12 @@
 service_ability::service_ability() : next_pause_(first_pause) {}
 
 void service_ability::on_opened(time_point now) {
-  fade(now);
-  opened_ += 1;
+  opened_.add(1, now);
   judge(now);
 }
 
 void service_ability::on_failed(time_point now) {
-  fade(now);
-  failed_ += 1;
+  failed_.add(1, now);
   judge(now);
 }
 
@@ -50,22 +45,17 @@
   next_pause_ = first_pause;
 }
 
-void service_ability::fade(time_point now) {
-  const auto passed = static_cast<double>((now - faded_at_).count());
-  const double left = std::exp(-passed / memory_us);
-  opened_ *= left;
-  failed_ *= left;
-  faded_at_ = now;
-}
-
 void service_ability::judge(time_point now) {
-  if (failed_ >= least_failures && failed_ >= failures_per_opened * opened_) {
+  judged_at_ = now;
+  const double opened = opened_.at(now);
+  const double failed = failed_.at(now);
+  if (failed >= least_failures && failed >= failures_per_opened * opened) {
     if (!is_unable(now)) {
       unable_since_ = now;
       unable_until_ = now + next_pause_;
       next_pause_ = std::min<duration>(next_pause_ * 2, longest_pause);
     }
-  } else if (opened_ > failed_) {
+  } else if (opened > failed) {
     reset();
   }
 }
--- a/src/requests/request_owner_slots.cc
+++ b/src/requests/request_owner_slots.cc
@@ -43,10 +43,7 @@
   attempt& a = entry.attempts.emplace_back();
   a.is_hedge = is_hedge;
   a.began = now;
-  a.ask = ++next_ask;
-  by_ask.emplace(a.ask, entry.request.key);
-  a.asked_at = now;
-  ask_again(entry, a, now, out);
+  renew_ask(entry, a, now, out);
 }
 
 void request_owner::state::ask_again(active& entry, attempt& a, time_point now,
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -140,7 +140,12 @@
   told.age =
       std::chrono::duration_cast<milliseconds>(now - replica_.confirmed_at());
   told.listing = std::move(listing);
-  return {settings_.self.name, settings_.run, replica_.at(), std::move(told),
+  return message_with(std::move(told));
+}
+
+spread_message replica_spread::message_with(
+    decltype(spread_message::body) body) const {
+  return {settings_.self.name, settings_.run, replica_.at(), std::move(body),
           0};
 }
 
--- a/src/spread/replica_spread_questions.cc
+++ b/src/spread/replica_spread_questions.cc
@@ -83,9 +83,7 @@
     }
   }
   if (!to.empty()) {
-    out.datagrams.push_back(
-        {std::move(to),
-         {settings_.self.name, settings_.run, replica_.at(), inquiry{}, 0}});
+    out.datagrams.push_back({std::move(to), message_with(inquiry{})});
   }
 }
 
--- a/test/failure_level-test.cc
+++ b/test/fading_count-test.cc
@@ -1,15 +1,15 @@
-#define BOOST_TEST_MODULE failure_level
-#include "rosemarydrum/forwarding/failure_level.h"
+#define BOOST_TEST_MODULE fading_count
+#include "rosemarydrum/forwarding/fading_count.h"
 
 #include <boost/test/unit_test.hpp>
 
 namespace rosemarydrum {
 namespace {
 
-// Guards against failures that are forgotten too soon, or never.
-BOOST_AUTO_TEST_CASE(failures_fade) {
+// Guards against events that are forgotten too soon, or never.
+BOOST_AUTO_TEST_CASE(events_fade) {
   const time_point start{seconds(100)};
-  failure_level tested;
+  fading_count tested(seconds(2));
   tested.add(4, start);
   BOOST_CHECK_EQUAL(tested.at(start), 4);
   BOOST_CHECK_GT(tested.at(start + seconds(1)), 2);
--- a/test/fleet/fleet_world.cc
+++ b/test/fleet/fleet_world.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "fleet/rotation.h"
 #include "fleet/test_packets.h"
 #include "rosemarydrum/address_text.h"
 
@@ -212,31 +213,14 @@
   clock.after(check, [this] { check_ready(); });
 }
 
-// The nodes in rotation of the caller's data centre; all of them if fewer than
-// half are; those of the next data centres if none is.
 test_node* fleet_world::route_to(const std::string& data_centre,
                                  std::uint64_t hash) {
-  auto centres = data_centres_;
-  std::stable_partition(
-      centres.begin(), centres.end(),
-      [&](const auto& centre) { return centre == data_centre; });
-  for (const auto& centre : centres) {
-    std::vector<test_node*> all;
-    std::vector<test_node*> ready;
-    for (auto& [name, node] : nodes) {
-      if (node->record.data_centre == centre) {
-        all.push_back(node.get());
-        if (node->in_rotation) {
-          ready.push_back(node.get());
-        }
-      }
-    }
-    if (!ready.empty()) {
-      const auto& chosen = ready.size() * 2 < all.size() ? all : ready;
-      return chosen[hash % chosen.size()];
-    }
+  std::vector<rotation_entry<test_node>> entries;
+  for (auto& [name, node] : nodes) {
+    entries.push_back(
+        {node.get(), node->record.data_centre, node->in_rotation});
   }
-  return nullptr;
+  return route_in_rotation(data_centres_, data_centre, entries, hash);
 }
 
 void fleet_world::request(const std::string& data_centre) {
--- a/test/soak/soak_processes.cc
+++ b/test/soak/soak_processes.cc
@@ -1,6 +1,7 @@
 #include <boost/json/parse.hpp>
 #include <csignal>
 
+#include "fleet/rotation.h"
 #include "io/addresses.h"
 #include "rosemarydrum/address_text.h"
 #include "soak/soak_fleet.h"
@@ -65,27 +66,11 @@
 
 soak_fleet::forwarder_process* soak_fleet::route_to(
     const std::string& data_centre, std::uint64_t hash) {
-  auto centres = data_centres;
-  std::stable_partition(
-      centres.begin(), centres.end(),
-      [&](const auto& centre) { return centre == data_centre; });
-  for (const auto& centre : centres) {
-    std::vector<forwarder_process*> all;
-    std::vector<forwarder_process*> ready;
-    for (const auto& node : nodes) {
-      if (node->data_centre == centre) {
-        all.push_back(node.get());
-        if (node->in_rotation) {
-          ready.push_back(node.get());
-        }
-      }
-    }
-    if (!ready.empty()) {
-      const auto& chosen = ready.size() * 2 < all.size() ? all : ready;
-      return chosen[hash % chosen.size()];
-    }
+  std::vector<rotation_entry<forwarder_process>> entries;
+  for (const auto& node : nodes) {
+    entries.push_back({node.get(), node->data_centre, node->in_rotation});
   }
-  return nullptr;
+  return route_in_rotation(data_centres, data_centre, entries, hash);
 }
 
 void soak_fleet::check_processes() {
