--- a/apps/command/explanation.cc
+++ b/apps/command/explanation.cc
@@ -13,10 +13,10 @@
 constexpr std::uint64_t context_ms = 15'000;
 
 /// Events of an upstream that explain decisions about it.
-constexpr std::array<std::string_view, 7> upstream_events{
-    "upstream_listed",  "upstream_unreadable", "upstream_gone",
-    "upstream_silent",  "upstream_answers",    "upstream_ejected",
-    "upstream_restored"};
+constexpr std::array<std::string_view, 8> upstream_events{
+    "upstream_listed",   "upstream_unreadable",  "upstream_gone",
+    "upstream_silent",   "upstream_answers",     "upstream_ejected",
+    "upstream_restored", "upstream_unresponsive"};
 /// Events of a process that explain its decisions.
 constexpr std::array<std::string_view, 17> process_events{
     "process_started",
@@ -170,6 +170,17 @@
               e.text("waited_us") + " us, where most of the route have over " +
               e.text("usual_bytes") + configuration_text(e);
      }},
+    {"flow_stalled",
+     [](const logged_event& e) {
+       return "no answer from upstream " + e.text("upstream") + " after " +
+              e.text("waited_us") + " us, although the request was sent again" +
+              configuration_text(e);
+     }},
+    {"flow_reset",
+     [](const logged_event& e) {
+       return "reset, because upstream " + e.text("upstream") +
+              " had stopped answering" + configuration_text(e);
+     }},
 };
 
 std::vector<std::string> findings_of(const std::vector<logged_event>& events,
--- a/apps/forwarder/data_loop.cc
+++ b/apps/forwarder/data_loop.cc
@@ -129,9 +129,13 @@
 void data_loop::send_reset(std::size_t size) {
   const auto cause =
       codec_.decode(bytes_view(buffer_.data() + codec_.headroom(), size));
+  send_to_caller(cause->flow, codec_.reset_for(*cause));
+}
+
+void data_loop::send_to_caller(const flow_ends& flow, const bytes& packet) {
   boost::system::error_code error;
-  socket_.send_to(asio::buffer(codec_.reset_for(*cause)),
-                  to_udp({cause->flow.caller.address, caller_port_}), 0, error);
+  socket_.send_to(asio::buffer(packet),
+                  to_udp({flow.caller.address, caller_port_}), 0, error);
   metrics_.sends_failed += error ? 1 : 0;
 }
 
@@ -141,6 +145,9 @@
               buffer_.begin() + static_cast<std::ptrdiff_t>(codec_.headroom()));
     apply_verdict(each.verdict, each.datagram.size());
   }
+  for (const auto& [flow, acknowledged] : core_.take_resets()) {
+    send_to_caller(flow, codec_.reset_of(flow, acknowledged));
+  }
 }
 
 void data_loop::wait_tick() {
--- a/apps/forwarder/data_loop.h
+++ b/apps/forwarder/data_loop.h
@@ -40,6 +40,7 @@
   void forward_packet(const packet_verdict& verdict, std::size_t size);
   void send_reset(std::size_t size);
   void send_due_packets(bool has_backlog, time_point now);
+  void send_to_caller(const flow_ends& flow, const bytes& packet);
   void wait_tick();
   void tick(time_point now);
   void check_stall(time_point now);
--- a/apps/forwarder/flow_journal.cc
+++ b/apps/forwarder/flow_journal.cc
@@ -25,6 +25,18 @@
   return fields;
 }
 
+json::object request_fields(const open_flow& flow,
+                            const known_upstream& upstream, time_point now) {
+  const auto& progress = flow.progress;
+  return {
+      {"request", flow.request},
+      {"flow", text_of(flow.ends)},
+      {"upstream", text_of(upstream.record.key)},
+      {"service", upstream.record.service},
+      {"waited_us",
+       progress.is_waiting() ? (now - progress.request_began()).count() : 0}};
+}
+
 }  // namespace
 
 json::object flow_journal::with_known_state(json::object fields,
@@ -137,6 +149,9 @@
 void flow_journal::on_ended(const open_flow& flow,
                             const known_upstream& upstream, time_point now) {
   ++metrics_.flows_ended;
+  if (flow.progress.requests() > 1) {
+    return;
+  }
   const auto took = now - flow.began;
   metrics_.flow_time.add(took);
   if (flow.objective.count() == 0 || took <= flow.objective) {
@@ -164,15 +179,16 @@
                              time_point now) {
   ++metrics_.flows_failed;
   log_.log(event_id::flow_failed, now, [&] {
-    return with_known_state({{"request", flow.request},
-                             {"flow", text_of(flow.ends)},
-                             {"route", flow.route},
-                             {"upstream", text_of(upstream.record.key)},
-                             {"service", upstream.record.service},
-                             {"answer_bytes", flow.answer_bytes()},
-                             {"usual_bytes", std::llround(usual_bytes)},
-                             {"waited_us", (now - flow.first_data_at).count()}},
-                            now);
+    return with_known_state(
+        {{"request", flow.request},
+         {"flow", text_of(flow.ends)},
+         {"route", flow.route},
+         {"upstream", text_of(upstream.record.key)},
+         {"service", upstream.record.service},
+         {"answer_bytes", flow.progress.answer_bytes()},
+         {"usual_bytes", std::llround(usual_bytes)},
+         {"waited_us", (now - flow.progress.request_began()).count()}},
+        now);
   });
 }
 
@@ -203,6 +219,30 @@
   });
 }
 
+void flow_journal::on_flow_stalled(const open_flow& flow,
+                                   const known_upstream& upstream,
+                                   time_point now) {
+  ++metrics_.flows_stalled;
+  log_.log(event_id::flow_stalled, now, [&] {
+    return with_known_state(request_fields(flow, upstream, now), now);
+  });
+}
+
+void flow_journal::on_unresponsive(const known_upstream& upstream,
+                                   time_point now) {
+  ++metrics_.upstreams_unresponsive;
+  log_.log(event_id::upstream_unresponsive, now,
+           [&] { return with_known_state(fields_of(upstream), now); });
+}
+
+void flow_journal::on_reset(const open_flow& flow,
+                            const known_upstream& upstream, time_point now) {
+  ++metrics_.resets[index_of(verdict_reason::unresponsive)];
+  log_.log(event_id::flow_reset, now, [&] {
+    return with_known_state(request_fields(flow, upstream, now), now);
+  });
+}
+
 void flow_journal::on_answers(const open_flow& flow,
                               const known_upstream& upstream, duration spared,
                               time_point now) {
--- a/apps/forwarder/flow_journal.h
+++ b/apps/forwarder/flow_journal.h
@@ -44,6 +44,11 @@
   void on_restored(const known_upstream& upstream, time_point now) override;
   void on_silent(const open_flow& flow, const known_upstream& upstream,
                  int unanswered, time_point now) override;
+  void on_flow_stalled(const open_flow& flow, const known_upstream& upstream,
+                       time_point now) override;
+  void on_unresponsive(const known_upstream& upstream, time_point now) override;
+  void on_reset(const open_flow& flow, const known_upstream& upstream,
+                time_point now) override;
   void on_answers(const open_flow& flow, const known_upstream& upstream,
                   duration spared, time_point now) override;
 
--- a/apps/forwarder/forwarder_metrics.h
+++ b/apps/forwarder/forwarder_metrics.h
@@ -27,6 +27,9 @@
   /// Flows placed by this process with a request that failed: its response was
   /// far shorter than usual for the route, or timed out.
   std::uint64_t flows_failed = 0;
+  /// Requests whose data was sent again and that still had no answer.
+  std::uint64_t flows_stalled = 0;
+  std::uint64_t upstreams_unresponsive = 0;
   std::uint64_t upstreams_ejected = 0;
   std::uint64_t upstreams_restored = 0;
   std::uint64_t upstreams_silent = 0;
@@ -38,7 +41,8 @@
   duration_histogram handshake;
   /// Time from a flow's first packet to the first data of its caller.
   duration_histogram first_data;
-  /// Time from a flow's first packet until the caller ends the flow.
+  /// Time from a flow's first packet until the caller ends the flow, for flows
+  /// with one request.
   duration_histogram flow_time;
   /// Delay of the thread's timer behind its expiry.
   duration_histogram lateness;
--- a/apps/forwarder/metrics_text.cc
+++ b/apps/forwarder/metrics_text.cc
@@ -48,6 +48,8 @@
   page.counter("flows_ended", data.flows_ended);
   page.counter("flows_unanswered", data.flows_unanswered);
   page.counter("flows_failed", data.flows_failed);
+  page.counter("flows_stalled", data.flows_stalled);
+  page.counter("upstreams_unresponsive", data.upstreams_unresponsive);
   page.counter("upstreams_ejected", data.upstreams_ejected);
   page.counter("upstreams_restored", data.upstreams_restored);
   page.counter("upstreams_silent", data.upstreams_silent);
--- a/include/rosemarydrum/events/event_record.h
+++ b/include/rosemarydrum/events/event_record.h
@@ -50,6 +50,7 @@
   upstream_answers = 414,
   upstream_ejected = 415,
   upstream_restored = 416,
+  upstream_unresponsive = 417,
   request_refused = 500,
   request_retried = 501,
   request_hedged = 502,
@@ -67,6 +68,8 @@
   flow_discarded = 704,
   flow_slow = 705,
   flow_failed = 706,
+  flow_stalled = 707,
+  flow_reset = 708,
   service_unable = 710,
   service_able = 711,
 };
--- a/include/rosemarydrum/forwarding/flow_codec.h
+++ b/include/rosemarydrum/forwarding/flow_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -29,8 +30,15 @@
   /// writes the flow's tag. The rest of the packet is not changed.
   virtual void address_to(std::span<std::uint8_t> buffer, upstream_key upstream,
                           upstream_tag tag) const = 0;
+  /// Returns a packet for the caller of an open flow that resets it.
+  /// `acknowledged` is the sequence number that the caller has acknowledged.
+  virtual bytes reset_of(const flow_ends& flow,
+                         std::uint32_t acknowledged) const = 0;
   /// Returns a packet for the caller of `cause` that resets its flow.
-  virtual bytes reset_for(const flow_packet& cause) const = 0;
+  bytes reset_for(const flow_packet& cause) const {
+    // A flow that is not open may be reset with any sequence number.
+    return reset_of(cause.flow, cause.opens ? 0 : cause.acknowledged);
+  }
 };
 
 }  // namespace rosemarydrum
--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -17,6 +17,7 @@
 #include "rosemarydrum/forwarding/response_size_baseline.h"
 #include "rosemarydrum/forwarding/route_table.h"
 #include "rosemarydrum/forwarding/service_ability.h"
+#include "rosemarydrum/forwarding/stall_detector.h"
 #include "rosemarydrum/forwarding/upstream_directory.h"
 #include "rosemarydrum/types.h"
 
@@ -46,6 +47,13 @@
 
 /// A request without any response data for this long has failed.
 inline constexpr milliseconds first_response_timeout{1000};
+/// A retransmission without an answer for this long was not lost by the network
+/// alone: the round trip to any upstream is shorter.
+inline constexpr milliseconds retransmission_answer_time{100};
+/// A flow without packets for this long after an answer is idle.
+inline constexpr milliseconds max_answer_gap{50};
+/// Callers have given up an opening packet after this time.
+inline constexpr milliseconds max_opening_time{2000};
 
 /// Decides where to send the packets of callers. Does no I/O and reads no
 /// clock.
@@ -61,6 +69,9 @@
   /// repeated while `has_backlog`: the received packets that have not been
   /// processed may include the callers' replies.
   std::vector<delayed_packet> due_packets(bool has_backlog, time_point now);
+  /// Returns the flows whose upstreams have stopped answering, so that their
+  /// callers open others at once.
+  std::vector<flow_reset> take_resets();
 
   /// Applies changes of the fleet; changes older than the known ones are
   /// ignored.
@@ -98,6 +109,10 @@
   void repeat_openings(time_point now);
   packet_verdict on_opening(const flow_packet& packet, time_point now);
   packet_verdict on_established(const flow_packet& packet, time_point now);
+  void on_end(open_flow& flow, time_point now);
+  void on_progress(open_flow& flow, const flow_packet& packet, time_point now);
+  void on_request(open_flow& flow, const flow_packet& packet, time_point now);
+  void on_answer(open_flow& flow, time_point now);
   std::optional<packet_verdict> place(open_flow& flow,
                                       std::optional<upstream_index> previous,
                                       bool may_repeat, time_point now);
@@ -108,13 +123,22 @@
   bool is_recovering_from_stall(time_point now) const;
   bool is_past_out_grace(upstream_index upstream, time_point now) const;
   void mark_open(open_flow& flow, upstream_index upstream, time_point now);
-  void release_upstream(open_flow& flow);
+  void set_load(open_flow& flow, flow_load load);
+  void check_idle_later(open_flow& flow, time_point now);
+  void check_idle_flows(time_point now);
   void record_unanswered(const open_flow& flow, time_point now);
-  void record_first_data(open_flow& flow, const flow_packet& packet,
-                         time_point now);
-  void check_response(open_flow& flow, time_point now);
+  void check_response(open_flow& flow, std::uint32_t response_bytes,
+                      duration took, time_point now);
   void check_response_timeouts(time_point now);
   void record_failure(open_flow& flow, time_point now);
+  upstream_failures& failures_of(upstream_index upstream);
+  void check_stalls(time_point now);
+  void record_stall(open_flow& flow, time_point now);
+  void on_stalled(upstream_index upstream, std::uint32_t flows, time_point sent,
+                  time_point now);
+  bool may_reset(const open_flow& flow) const;
+  void reset_flow(const open_flow& flow, time_point now);
+  void reset_flows_of(upstream_index upstream, time_point now);
   void on_failures(upstream_index upstream, std::uint32_t count,
                    time_point now);
   packet_verdict refuse_opening(const flow_packet& packet, time_point now);
@@ -151,6 +175,10 @@
   open_flows flows_;
   std::deque<flow_deadline> handshake_deadlines_;
   std::deque<flow_deadline> response_deadlines_;
+  std::deque<flow_deadline> stall_deadlines_;
+  std::deque<flow_deadline> idle_deadlines_;
+  stall_detector stalls_;
+  std::vector<flow_reset> resets_;
   /// Keyed by route name.
   std::map<std::string, response_size_baseline> response_baselines_;
   std::vector<upstream_failures> failures_;
--- a/include/rosemarydrum/forwarding/handshake_health.h
+++ b/include/rosemarydrum/forwarding/handshake_health.h
@@ -25,6 +25,8 @@
   /// Records that the handshake sent at `sent` was not answered in time.
   /// Returns true if this makes the upstream silent.
   bool on_unanswered(time_point sent, time_point now);
+  /// Records that open flows of the upstream get no answers.
+  void on_unresponsive(time_point now);
   void reset();
 
   /// Whether new flows should go to other upstreams.
--- a/include/rosemarydrum/forwarding/open_flows.h
+++ b/include/rosemarydrum/forwarding/open_flows.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <cstddef>
 #include <deque>
 #include <string>
 
+#include "rosemarydrum/forwarding/answer_progress.h"
+#include "rosemarydrum/forwarding/flow_load.h"
 #include "rosemarydrum/forwarding/flow_packet.h"
 #include "rosemarydrum/forwarding/placement_choice.h"
 #include "rosemarydrum/forwarding/upstream_directory.h"
@@ -29,8 +32,12 @@
   /// When the first packet arrived.
   time_point began;
   time_point last_packet;
-  /// Whether the flow counts towards the upstream's load.
-  bool counted = false;
+  flow_load load = flow_load::none;
+  /// Whether it will be checked for being idle.
+  bool idle_check_pending = false;
+  answer_progress progress;
+  /// Id of the current or latest request; empty if it has none.
+  std::string request;
 
   /// The members from here on are used only for flows that were placed here.
   placement_choice choice;
@@ -47,39 +54,35 @@
   time_point opened_at;
   /// When the first data of the caller arrived.
   time_point first_data_at;
-  /// Id of the first request; empty if it has none.
-  std::string request;
-  /// The caller's acknowledged sequence number when the flow opened, and the
-  /// latest one.
-  std::uint32_t first_acknowledged = 0;
-  std::uint32_t acknowledged = 0;
-  /// A flow counts as failed at most once.
+  /// A request counts as failed at most once.
   bool counted_as_failed = false;
 
   bool was_placed_here() const { return attempts > 0; }
-  /// Response bytes that the caller has acknowledged.
-  std::uint32_t answer_bytes() const {
-    return acknowledged - first_acknowledged;
-  }
 };
 
-/// A flow is dropped after this time without packets: it has ended, is idle and
-/// causes no load, or its packets pass through another process.
+/// A flow is dropped after this time without packets: it has ended or was not
+/// opened, or its packets pass through another process. Open flows may be kept
+/// for longer.
 inline constexpr seconds idle_flow_lifetime{3};
 inline constexpr std::size_t max_open_flows = 200'000;
 
-/// The flows that had packets in the last seconds. They count as load of their
-/// upstreams, and a flow listed here keeps its upstream even if its tag
-/// changes. A packet whose flow is not listed is forwarded by its tag.
+/// The flows whose packets passed through this process lately. They count as
+/// load of their upstreams, and a flow listed here keeps its upstream even if
+/// its tag changes. A packet whose flow is not listed is forwarded by its tag.
 class open_flows {
  public:
   open_flow* find(const flow_ends& ends);
   /// Returns nullptr if there are already `max_open_flows`.
   open_flow* insert(const flow_ends& ends, time_point now);
   void erase(const flow_ends& ends);
+  /// Keeps open flows without packets for this long, but not less than
+  /// `idle_flow_lifetime`.
+  void set_idle_lifetime(duration lifetime_of_open_flows) {
+    open_lifetime_ = std::max(lifetime, lifetime_of_open_flows);
+  }
 
-  /// Removes each flow without packets for `idle_flow_lifetime`, after calling
-  /// `forget` with it.
+  /// Removes each flow without packets for its lifetime, after calling `forget`
+  /// with it.
   template <typename Forget>
   void expire(time_point now, Forget&& forget) {
     while (!due_.empty() && due_.front().at <= now) {
@@ -89,7 +92,10 @@
       if (found == flows_.end() || found->second.began != next.began) {
         continue;
       }
-      const auto ends_at = found->second.last_packet + lifetime;
+      const auto& flow = found->second;
+      const auto ends_at =
+          flow.last_packet +
+          (flow.stage == flow_stage::open ? open_lifetime_ : lifetime);
       if (ends_at > now) {
         due_.push_back({now + lifetime, next.ends, next.began});
         continue;
@@ -99,6 +105,13 @@
     }
   }
 
+  template <typename Visit>
+  void for_each(Visit&& visit) const {
+    for (const auto& [ends, flow] : flows_) {
+      visit(flow);
+    }
+  }
+
   template <typename Matches>
   void erase_if(Matches&& matches) {
     boost::unordered::erase_if(
@@ -116,6 +129,7 @@
     time_point began;
   };
 
+  duration open_lifetime_ = lifetime;
   boost::unordered_flat_map<flow_ends, open_flow, std::hash<flow_ends>> flows_;
   /// Ordered by time.
   std::deque<deadline> due_;
--- a/include/rosemarydrum/forwarding/packet_verdict.h
+++ b/include/rosemarydrum/forwarding/packet_verdict.h
@@ -31,6 +31,8 @@
   /// Upstreams of the service accept flows but do not answer this process.
   /// Other forwarders may reach them.
   unreachable,
+  /// The flow's upstream has stopped answering.
+  unresponsive,
   /// The packet's tag matches no known upstream.
   unknown_tag,
   /// Operators have taken the flow's data centre out of service.
@@ -52,9 +54,9 @@
 inline constexpr std::array<std::string_view,
                             static_cast<std::size_t>(verdict_reason::count)>
     verdict_reason_names{{"placed", "established", "no_route", "no_upstream",
-                          "unreachable", "unknown_tag", "data_centre_out",
-                          "held", "stalled", "not_a_callers_packet",
-                          "malformed"}};
+                          "unreachable", "unresponsive", "unknown_tag",
+                          "data_centre_out", "held", "stalled",
+                          "not_a_callers_packet", "malformed"}};
 
 constexpr std::string_view name_of(verdict_reason reason) {
   return verdict_reason_names[static_cast<std::size_t>(reason)];
@@ -69,6 +71,13 @@
   endpoint to;
 };
 
+/// A flow to be reset that had no packet just now.
+struct flow_reset {
+  flow_ends flow;
+  /// The sequence number that its caller has acknowledged.
+  std::uint32_t acknowledged = 0;
+};
+
 /// A packet whose verdict follows later than its receipt: an opening packet
 /// that is repeated to another upstream, or a packet that was held.
 struct delayed_packet {
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -11,6 +11,7 @@
 
 #include "rosemarydrum/forwarding/cold_flow_budget.h"
 #include "rosemarydrum/forwarding/fleet_configuration.h"
+#include "rosemarydrum/forwarding/flow_load.h"
 #include "rosemarydrum/forwarding/flow_time_estimate.h"
 #include "rosemarydrum/forwarding/handshake_health.h"
 #include "rosemarydrum/forwarding/outlier_detector.h"
@@ -30,8 +31,11 @@
   std::uint64_t seed = 1;
 };
 
-/// Added to the load of an upstream in another data centre, in flows.
-inline constexpr double remote_flow_penalty = 1.0;
+/// Added to the load of an upstream in another data centre, in flows. An
+/// upstream of the own one with one flow more is preferred.
+inline constexpr double remote_flow_penalty = 1.25;
+/// Load of an open flow without a request, relative to one with a request.
+inline constexpr double idle_flow_load = 1.0 / 16;
 
 /// Chooses upstreams for new flows by the load that this process has placed on
 /// them, their flow times and their health.
@@ -60,12 +64,12 @@
                                          std::optional<upstream_index> previous,
                                          bool may_repeat, time_point now);
 
-  /// Adds a flow to the upstream's load.
+  /// Adds an active flow to the upstream's load.
   void on_placed(upstream_index upstream, bool uses_cold_budget,
                  time_point now);
-  /// Removes a flow that has ended or moved from the upstream's load.
-  void on_ended(upstream_index upstream);
-  /// Records the time from a flow's first data to its end.
+  /// Changes the load of a flow at the upstream.
+  void on_load(upstream_index upstream, flow_load previous, flow_load load);
+  /// Records the time from the start of a request to the end of its answer.
   void on_flow_time(upstream_index upstream, duration took, time_point now);
   /// Records that the handshake sent at `sent` was answered. Returns true if
   /// the upstream had been silent; it then counts as cold for `warmup`.
@@ -75,6 +79,10 @@
   /// Returns true if this makes the upstream silent.
   bool on_unanswered(upstream_index upstream, time_point sent, time_point now);
 
+  /// Records that open flows of the upstream get no answers, or do again.
+  void on_unresponsive(upstream_index upstream, time_point now);
+  void on_responsive(upstream_index upstream);
+
   /// Adds failed flows of the upstream. Returns true if this ejects it: it then
   /// gets new flows only if no other upstream can take them.
   bool on_failures(upstream_index upstream, std::uint32_t failures,
@@ -106,7 +114,9 @@
 
  private:
   struct upstream_state {
+    /// Active flows.
     std::uint32_t in_flight = 0;
+    std::uint32_t idle = 0;
     handshake_health health;
     /// When the latest flow within the cold flow budget was placed.
     time_point cold_flow_at;
@@ -116,6 +126,9 @@
   };
 
   upstream_state& state_of(upstream_index upstream);
+  /// Members notice a silent upstream at about the same time. A random start of
+  /// the interval keeps them from retrying at the same time.
+  void spread_retries(upstream_state& state, time_point now);
   bool is_within_cold_budget(double cold_flows_per_second,
                              upstream_key upstream, const upstream_state& state,
                              bool is_cold, time_point now) const;
--- a/include/rosemarydrum/forwarding/route_table.h
+++ b/include/rosemarydrum/forwarding/route_table.h
@@ -29,6 +29,12 @@
   const fleet_service& service(const std::string& name) const;
   /// Returns the longest warm-up time of all services.
   duration longest_warmup() const;
+  /// Whether the requests of a flow may be repeated; false if it has no route.
+  bool is_repeatable(const flow_ends& flow) const;
+  /// Flows without packets for longer may be dropped.
+  duration idle_timeout() const {
+    return source_ ? source_->idle_timeout : milliseconds(0);
+  }
   /// False before there is a configuration.
   bool is_known() const { return source_ != nullptr; }
   std::uint64_t version() const { return source_ ? source_->version : 0; }
--- a/include/rosemarydrum/forwarding/upstream_failures.h
+++ b/include/rosemarydrum/forwarding/upstream_failures.h
@@ -6,10 +6,12 @@
 
 namespace rosemarydrum {
 
-/// Number of flows that failed at one upstream since the last report.
+/// Numbers of failed requests and of stalled flows at one upstream since the
+/// last report.
 struct upstream_failures {
   upstream_key upstream{};
   std::uint32_t count = 0;
+  std::uint32_t stalled = 0;
 
   friend bool operator==(const upstream_failures&,
                          const upstream_failures&) = default;
--- a/schema/spread.capnp
+++ b/schema/spread.capnp
@@ -18,6 +18,7 @@
   reporter @0 :UInt64;
   upstream @1 :UInt64;
   count @2 :UInt32;
+  stalled @3 :UInt32;
 }
 
 struct SpreadMessage {
--- a/src/events/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -160,6 +160,11 @@
     {upstream_restored, "upstream_restored", info,
      "The failures of an ejected upstream have expired; it gets flows again.",
      "upstream service data_centre configuration revision age_ms"},
+    {upstream_unresponsive, "upstream_unresponsive", warning,
+     "Flows of an upstream have stalled and none got an answer meanwhile. Its "
+     "open flows here are reset, except for those with a request that must "
+     "run at most once.",
+     "upstream service data_centre configuration revision age_ms"},
     {request_refused, "request_refused", warning,
      "A request was refused; detail is the error's number.",
      "service flow request detail"},
@@ -233,6 +238,15 @@
      "`usual_bytes`: three answers of four are longer.",
      "request flow route upstream service answer_bytes usual_bytes waited_us "
      "configuration revision age_ms"},
+    {flow_stalled, "flow_stalled", warning,
+     "The caller of an open flow has sent the data of a request again and "
+     "still has no answer.",
+     "request flow upstream service waited_us configuration revision age_ms"},
+    {flow_reset, "flow_reset", warning,
+     "An open flow was reset, because its upstream is unresponsive. `request`: "
+     "the current or latest one; `waited_us`: the time since it began, 0 if "
+     "it has been answered.",
+     "request flow upstream service waited_us configuration revision age_ms"},
     {service_unable, "service_unable", warning,
      "Nearly all of the latest new flows have failed; this process reports "
      "itself not ready for `pause_ms`.",
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -3,18 +3,6 @@
 #include <utility>
 
 namespace rosemarydrum {
-namespace {
-
-// Packets may be reordered; only the highest acknowledgement counts.
-void update_acknowledged(open_flow& flow, const flow_packet& packet) {
-  const auto advance =
-      static_cast<std::int32_t>(packet.acknowledged - flow.acknowledged);
-  if (packet.acknowledges && !packet.resets && advance > 0) {
-    flow.acknowledged = packet.acknowledged;
-  }
-}
-
-}  // namespace
 
 forwarder::forwarder(forwarder_settings settings, const flow_codec& codec,
                      forwarder_observer& observer)
@@ -82,41 +70,59 @@
   if (flow == nullptr) {
     flow = flows_.insert(packet.flow, now);
   }
-  if (flow != nullptr) {
-    flow->last_packet = now;
-    if (flow->stage == flow_stage::opening) {
-      mark_open(*flow, *upstream, now);
-      flow->first_acknowledged = flow->acknowledged = packet.acknowledged;
-    }
-    update_acknowledged(*flow, packet);
-    record_first_data(*flow, packet, now);
-    if ((packet.finishes || packet.resets) &&
-        flow->stage != flow_stage::ended) {
-      release_upstream(*flow);
-      flow->stage = flow_stage::ended;
-      if (flow->was_placed_here()) {
-        check_response(*flow, now);
-        observer_.on_ended(*flow, directory_.at(*upstream), now);
-      }
-    }
+  if (flow == nullptr) {
+    return to_upstream(*upstream, verdict_reason::established);
+  }
+  flow->last_packet = now;
+  if (flow->stage == flow_stage::opening) {
+    flow->progress.open(packet.acknowledged);
+    mark_open(*flow, *upstream, now);
+  }
+  const bool was_waiting = flow->progress.is_waiting();
+  on_progress(*flow, packet, now);
+  if (packet.finishes || packet.resets) {
+    on_end(*flow, now);
+  } else if (!was_waiting && flow->progress.is_waiting() &&
+             stalls_.is_unresponsive(*upstream, now) && may_reset(*flow)) {
+    set_load(*flow, flow_load::none);
+    flows_.erase(packet.flow);
+    return refuse(packet, verdict_reason::unresponsive, now);
   }
   return to_upstream(*upstream, verdict_reason::established);
 }
 
+void forwarder::on_end(open_flow& flow, time_point now) {
+  if (flow.stage == flow_stage::ended) {
+    return;
+  }
+  set_load(flow, flow_load::none);
+  flow.stage = flow_stage::ended;
+  if (!flow.was_placed_here()) {
+    return;
+  }
+  if (const auto& progress = flow.progress; progress.requests() > 0) {
+    const auto ended = progress.is_waiting() ? now : progress.answered_at();
+    check_response(flow, progress.answer_bytes(),
+                   ended - progress.request_began(), now);
+  }
+  observer_.on_ended(flow, directory_.at(flow.upstream), now);
+}
+
 void forwarder::mark_open(open_flow& flow, upstream_index upstream,
                           time_point now) {
-  if (!flow.counted || flow.upstream != upstream) {
-    release_upstream(flow);
-    placement_.on_placed(upstream, false, now);
-    flow.counted = true;
+  if (flow.upstream != upstream) {
+    set_load(flow, flow_load::none);
     flow.upstream = upstream;
   }
+  set_load(flow, flow_load::active);
+  check_idle_later(flow, now);
   flow.stage = flow_stage::open;
   flow.opening = {};
   flow.opened_at = now;
   if (!flow.was_placed_here()) {
     return;
   }
+  stalls_.on_answer(upstream, now);
   observer_.on_handshake(flow, now);
   ability_.on_opened(now);
   const auto warmup = service_of(upstream).warmup;
@@ -125,22 +131,34 @@
   }
 }
 
-void forwarder::record_first_data(open_flow& flow, const flow_packet& packet,
-                                  time_point now) {
-  if (!flow.was_placed_here() || packet.data.empty() ||
-      flow.first_data_at != time_point{}) {
-    return;
+void forwarder::set_load(open_flow& flow, flow_load load) {
+  placement_.on_load(flow.upstream, std::exchange(flow.load, load), load);
+}
+
+void forwarder::check_idle_later(open_flow& flow, time_point now) {
+  if (!std::exchange(flow.idle_check_pending, true)) {
+    idle_deadlines_.push_back({now + max_answer_gap, flow.ends, now});
   }
-  flow.first_data_at = now;
-  flow.request = codec_.request_id(packet.data);
-  response_deadlines_.push_back({now + first_response_timeout, flow.ends, now});
-  observer_.on_opened(flow, directory_.at(flow.upstream), now);
 }
 
-void forwarder::release_upstream(open_flow& flow) {
-  if (flow.counted) {
-    placement_.on_ended(flow.upstream);
-    flow.counted = false;
+void forwarder::check_idle_flows(time_point now) {
+  while (!idle_deadlines_.empty() && idle_deadlines_.front().due <= now) {
+    const auto next = idle_deadlines_.front();
+    idle_deadlines_.pop_front();
+    auto* flow = flows_.find(next.ends);
+    if (flow == nullptr || flow->stage != flow_stage::open) {
+      continue;
+    }
+    flow->idle_check_pending = false;
+    if (flow->progress.is_waiting()) {
+      // The answer schedules the next check.
+      continue;
+    }
+    if (now - flow->last_packet < max_answer_gap) {
+      check_idle_later(*flow, now);
+    } else if (flow->load == flow_load::active) {
+      set_load(*flow, flow_load::idle);
+    }
   }
 }
 
--- a/src/forwarding/forwarder_openings.cc
+++ b/src/forwarding/forwarder_openings.cc
@@ -7,7 +7,8 @@
 packet_verdict forwarder::on_opening(const flow_packet& packet,
                                      time_point now) {
   auto* flow = flows_.find(packet.flow);
-  if (flow != nullptr && flow->stage == flow_stage::open) {
+  if (flow != nullptr && flow->stage == flow_stage::open &&
+      now - flow->began < max_opening_time) {
     // A delayed retransmission; the upstream knows the flow already.
     return to_upstream(flow->upstream, verdict_reason::established);
   }
@@ -22,6 +23,10 @@
   const bool is_retransmission =
       flow != nullptr && flow->stage == flow_stage::opening;
   if (!is_retransmission) {
+    if (flow != nullptr) {
+      // The caller uses the port of an earlier flow again.
+      set_load(*flow, flow_load::none);
+    }
     flow = flows_.insert(packet.flow, now);
     if (flow == nullptr) {
       return refuse(packet, verdict_reason::no_upstream, now);
@@ -57,7 +62,7 @@
 std::optional<packet_verdict> forwarder::place(
     open_flow& flow, std::optional<upstream_index> previous, bool may_repeat,
     time_point now) {
-  release_upstream(flow);
+  set_load(flow, flow_load::none);
   const auto [matched_route, target] = routes_.route_of(flow.ends);
   const auto chosen =
       target == nullptr
@@ -73,7 +78,7 @@
                        chosen->reason != placement_reason::least_loaded, now);
   flow.stage = flow_stage::opening;
   flow.upstream = chosen->upstream;
-  flow.counted = true;
+  flow.load = flow_load::active;
   flow.choice = *chosen;
   flow.route = matched_route->name;
   flow.objective = matched_route->objective;
@@ -101,8 +106,10 @@
 std::vector<delayed_packet> forwarder::due_packets(bool has_backlog,
                                                    time_point now) {
   release_held(now);
+  check_idle_flows(now);
   if (!has_backlog) {
     repeat_openings(now);
+    check_stalls(now);
   }
   return std::exchange(due_, {});
 }
@@ -125,7 +132,7 @@
 }
 
 void forwarder::record_unanswered(const open_flow& flow, time_point now) {
-  if (!flow.counted || flow.sent_at < handshake_health_since_) {
+  if (flow.load == flow_load::none || flow.sent_at < handshake_health_since_) {
     return;
   }
   ability_.on_failed(now);
--- a/src/forwarding/forwarder_responses.cc
+++ b/src/forwarding/forwarder_responses.cc
@@ -3,20 +3,72 @@
 
 #include "rosemarydrum/forwarding/forwarder.h"
 
-// Detects failed requests from the response bytes that callers acknowledge.
+// Follows requests and their responses by the bytes that callers acknowledge.
 
 namespace rosemarydrum {
 
-void forwarder::check_response(open_flow& flow, time_point now) {
-  if (flow.first_data_at == time_point{}) {
+void forwarder::on_progress(open_flow& flow, const flow_packet& packet,
+                            time_point now) {
+  const auto previous = flow.progress;
+  switch (flow.progress.on_packet(packet, now)) {
+    case progress_event::request:
+      if (flow.was_placed_here() && previous.requests() > 0) {
+        // The packet may acknowledge the rest of the previous response.
+        const auto missing =
+            flow.progress.acknowledged() - previous.acknowledged();
+        check_response(flow, previous.answer_bytes() + missing,
+                       previous.answered_at() - previous.request_began(), now);
+      }
+      on_request(flow, packet, now);
+      return;
+    case progress_event::retransmission:
+      stall_deadlines_.push_back(
+          {now + retransmission_answer_time, flow.ends, now});
+      return;
+    case progress_event::answer:
+      on_answer(flow, now);
+      return;
+    case progress_event::none:
+      return;
+  }
+}
+
+void forwarder::on_request(open_flow& flow, const flow_packet& packet,
+                           time_point now) {
+  flow.request = codec_.request_id(packet.data);
+  flow.counted_as_failed = false;
+  if (flow.stage == flow_stage::open) {
+    set_load(flow, flow_load::active);
+  }
+  if (!flow.was_placed_here()) {
     return;
   }
-  placement_.on_flow_time(flow.upstream, now - flow.first_data_at, now);
+  response_deadlines_.push_back({now + first_response_timeout, flow.ends, now});
+  if (flow.progress.requests() == 1) {
+    flow.first_data_at = now;
+    observer_.on_opened(flow, directory_.at(flow.upstream), now);
+  }
+}
+
+void forwarder::on_answer(open_flow& flow, time_point now) {
+  if (stalls_.on_answer(flow.upstream, now)) {
+    placement_.on_responsive(flow.upstream);
+  }
+  if (flow.stage == flow_stage::open) {
+    set_load(flow, flow_load::active);
+    check_idle_later(flow, now);
+  }
+}
+
+void forwarder::check_response(open_flow& flow, std::uint32_t response_bytes,
+                               duration took, time_point now) {
+  if (took > duration(0)) {
+    placement_.on_flow_time(flow.upstream, took, now);
+  }
   if (flow.counted_as_failed) {
     return;
   }
   auto& baseline = response_baselines_[flow.route];
-  const auto response_bytes = flow.answer_bytes();
   if (response_bytes == 0 || baseline.is_short(response_bytes)) {
     record_failure(flow, now);
   }
@@ -32,7 +84,8 @@
     response_deadlines_.pop_front();
     auto* flow = flows_.find(next.ends);
     if (flow != nullptr && flow->stage == flow_stage::open &&
-        flow->first_data_at == next.sent_at && flow->answer_bytes() == 0) {
+        flow->progress.request_began() == next.sent_at &&
+        flow->progress.answer_bytes() == 0) {
       record_failure(*flow, now);
     }
   }
@@ -40,24 +93,23 @@
 
 void forwarder::record_failure(open_flow& flow, time_point now) {
   flow.counted_as_failed = true;
-  const auto& known = directory_.at(flow.upstream);
-  observer_.on_failed(flow, known, response_baselines_[flow.route].quartile(),
-                      now);
-  const auto key = known.record.key;
+  observer_.on_failed(flow, directory_.at(flow.upstream),
+                      response_baselines_[flow.route].quartile(), now);
+  ++failures_of(flow.upstream).count;
+  on_failures(flow.upstream, 1, now);
+}
+
+upstream_failures& forwarder::failures_of(upstream_index upstream) {
+  const auto key = directory_.at(upstream).record.key;
   const auto entry =
       std::find_if(failures_.begin(), failures_.end(),
                    [key](const auto& each) { return each.upstream == key; });
-  if (entry == failures_.end()) {
-    failures_.push_back({key, 1});
-  } else {
-    ++entry->count;
-  }
-  on_failures(flow.upstream, 1, now);
+  return entry == failures_.end() ? failures_.emplace_back(key) : *entry;
 }
 
 void forwarder::on_failures(upstream_index upstream, std::uint32_t count,
                             time_point now) {
-  if (placement_.on_failures(upstream, count, now)) {
+  if (count > 0 && placement_.on_failures(upstream, count, now)) {
     observer_.on_ejected(directory_.at(upstream),
                          placement_.failures(upstream, now), now);
   }
--- /dev/null
+++ b/src/forwarding/forwarder_stalls.cc
@@ -0,0 +1,77 @@
+#include <utility>
+
+#include "rosemarydrum/forwarding/forwarder.h"
+
+// Resets flows whose upstreams have stopped answering.
+
+namespace rosemarydrum {
+
+void forwarder::check_stalls(time_point now) {
+  while (!stall_deadlines_.empty() && stall_deadlines_.front().due <= now) {
+    const auto next = stall_deadlines_.front();
+    stall_deadlines_.pop_front();
+    auto* flow = flows_.find(next.ends);
+    if (flow != nullptr && flow->progress.is_waiting() &&
+        flow->progress.last_data_at() == next.sent_at) {
+      record_stall(*flow, now);
+    }
+  }
+}
+
+void forwarder::record_stall(open_flow& flow, time_point now) {
+  const auto ends = flow.ends;
+  const auto upstream = flow.upstream;
+  ++failures_of(upstream).stalled;
+  observer_.on_flow_stalled(flow, directory_.at(upstream), now);
+  on_stalled(upstream, 1, flow.progress.sent_at(), now);
+  if (!stalls_.is_unresponsive(upstream, now)) {
+    return;
+  }
+  if (const auto* left = flows_.find(ends);
+      left != nullptr && may_reset(*left)) {
+    reset_flow(*left, now);
+    flows_.erase(ends);
+  }
+}
+
+void forwarder::on_stalled(upstream_index upstream, std::uint32_t flows,
+                           time_point sent, time_point now) {
+  const auto& known = directory_.at(upstream);
+  const bool is_gone =
+      known.state == listing::gone && confirmed_ >= known.gone_at;
+  const auto threshold = is_gone ? 1 : stalls_of_unresponsive;
+  if (flows > 0 && stalls_.on_stalled(upstream, flows, sent, threshold, now)) {
+    placement_.on_unresponsive(upstream, now);
+    observer_.on_unresponsive(known, now);
+    reset_flows_of(upstream, now);
+  }
+}
+
+// A request that must run at most once is left to its caller's time limit: it
+// may be running, and its caller may not send it again.
+bool forwarder::may_reset(const open_flow& flow) const {
+  return flow.stage == flow_stage::open &&
+         (!flow.progress.is_waiting() || routes_.is_repeatable(flow.ends));
+}
+
+void forwarder::reset_flow(const open_flow& flow, time_point now) {
+  resets_.push_back({flow.ends, flow.progress.acknowledged()});
+  observer_.on_reset(flow, directory_.at(flow.upstream), now);
+  placement_.on_load(flow.upstream, flow.load, flow_load::none);
+}
+
+void forwarder::reset_flows_of(upstream_index upstream, time_point now) {
+  flows_.erase_if([&](const open_flow& flow) {
+    const bool resets = flow.upstream == upstream && may_reset(flow);
+    if (resets) {
+      reset_flow(flow, now);
+    }
+    return resets;
+  });
+}
+
+std::vector<flow_reset> forwarder::take_resets() {
+  return std::exchange(resets_, {});
+}
+
+}  // namespace rosemarydrum
--- a/src/forwarding/forwarder_updates.cc
+++ b/src/forwarding/forwarder_updates.cc
@@ -19,6 +19,9 @@
 /// Until the fabric has noticed that a new process is ready, it may send later
 /// packets of flows that were placed here to other forwarders.
 constexpr milliseconds rotation_delay{1000};
+/// Reports of other members are about flows that were seen to stall within this
+/// time.
+constexpr milliseconds max_report_delay{600};
 
 }  // namespace
 
@@ -34,13 +37,15 @@
     // against upstreams.
     placement_.reset_handshake_health();
     ability_.reset();
+    stalls_.restart(now);
   }
   for (const auto& change : update.changes) {
     on_change(change, now);
   }
-  for (const auto& [key, count] : update.failures) {
-    if (const auto index = directory_.find(key)) {
-      on_failures(*index, count, now);
+  for (const auto& each : update.failures) {
+    if (const auto index = directory_.find(each.upstream)) {
+      on_failures(*index, each.count, now);
+      on_stalled(*index, each.stalled, now - max_report_delay, now);
     }
   }
 }
@@ -58,6 +63,7 @@
       }
       routes_revision_ = change.changed;
       routes_ = route_table(routes->value);
+      flows_.set_idle_lifetime(routes_.idle_timeout());
       std::erase_if(response_baselines_, [&](const auto& entry) {
         return std::none_of(
             routes->value->routes.begin(), routes->value->routes.end(),
@@ -91,6 +97,8 @@
 void forwarder::on_stall(duration stalled, time_point now) {
   handshake_deadlines_.clear();
   response_deadlines_.clear();
+  stall_deadlines_.clear();
+  stalls_.restart(now);
   stall_ended_at_ = now;
   stale_packets_until_ = now + backlog_drain_time;
   if (stalled >= min_long_stall) {
@@ -112,10 +120,10 @@
     observer_.on_restored(directory_.at(index), now);
   });
   flows_.expire(now, [this, now](open_flow& flow) {
-    if (flow.stage == flow_stage::opening && flow.counted) {
+    if (flow.stage == flow_stage::opening && flow.load != flow_load::none) {
       observer_.on_unanswered(flow, directory_.at(flow.upstream), now);
     }
-    release_upstream(flow);
+    set_load(flow, flow_load::none);
   });
   const bool was_unable = std::exchange(is_unable_, ability_.is_unable(now));
   if (was_unable && !is_unable_) {
@@ -127,6 +135,7 @@
     flows_.erase_if(
         [index](const open_flow& flow) { return flow.upstream == index; });
     placement_.forget(index);
+    stalls_.forget(index);
   });
 }
 
--- a/src/forwarding/handshake_health.cc
+++ b/src/forwarding/handshake_health.cc
@@ -30,6 +30,12 @@
   return !was_silent && silent_;
 }
 
+void handshake_health::on_unresponsive(time_point now) {
+  silent_ = true;
+  backoff_until_ =
+      std::max<time_point>(backoff_until_, now + min_handshake_backoff);
+}
+
 void handshake_health::reset() { *this = {}; }
 
 }  // namespace rosemarydrum
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -80,8 +80,8 @@
                         const flow_time_estimate& service_flow_time,
                         time_point now) const {
   const bool is_remote = known.record.data_centre != settings_.data_centre;
-  const double flows =
-      state.in_flight + (is_remote ? remote_flow_penalty : 0.0);
+  const double flows = state.in_flight + state.idle * idle_flow_load +
+                       (is_remote ? remote_flow_penalty : 0.0);
   const double slowness = state.flow_time.slowness(service_flow_time, now);
   // The term `slowness - 1` ranks idle slow upstreams below idle fast ones.
   return (flows * slowness + slowness - 1) / known.record.slots;
@@ -147,10 +147,20 @@
   }
 }
 
-void placement::on_ended(upstream_index upstream) {
+void placement::on_load(upstream_index upstream, flow_load previous,
+                        flow_load load) {
   auto& state = state_of(upstream);
-  if (state.in_flight > 0) {
-    --state.in_flight;
+  const auto counter = [&state](flow_load of) {
+    return of == flow_load::active ? &state.in_flight
+           : of == flow_load::idle ? &state.idle
+                                   : nullptr;
+  };
+  // The counters start at 0 again when an upstream is forgotten.
+  if (auto* flows = counter(previous); flows != nullptr && *flows > 0) {
+    --*flows;
+  }
+  if (auto* flows = counter(load)) {
+    ++*flows;
   }
 }
 
@@ -175,18 +185,33 @@
   auto& state = state_of(upstream);
   const bool became_silent = state.health.on_unanswered(sent, now);
   if (became_silent) {
-    // All members notice at about the same time. A random start of the interval
-    // keeps them from retrying at the same time.
-    const auto interval = cold_budget_.shared_interval(settings_.cold_extra);
-    const auto fraction = static_cast<double>(random_() - random_.min()) /
-                          static_cast<double>(random_.max() - random_.min());
-    state.cold_flow_at =
-        now - duration(static_cast<duration::rep>(
-                  fraction * static_cast<double>(interval.count())));
+    spread_retries(state, now);
   }
   return became_silent;
 }
 
+void placement::on_unresponsive(upstream_index upstream, time_point now) {
+  auto& state = state_of(upstream);
+  const bool was_silent = state.health.is_silent();
+  state.health.on_unresponsive(now);
+  if (!was_silent) {
+    spread_retries(state, now);
+  }
+}
+
+void placement::on_responsive(upstream_index upstream) {
+  state_of(upstream).health.reset();
+}
+
+void placement::spread_retries(upstream_state& state, time_point now) {
+  const auto interval = cold_budget_.shared_interval(settings_.cold_extra);
+  const auto fraction = static_cast<double>(random_() - random_.min()) /
+                        static_cast<double>(random_.max() - random_.min());
+  state.cold_flow_at =
+      now - duration(static_cast<duration::rep>(
+                fraction * static_cast<double>(interval.count())));
+}
+
 bool placement::on_failures(upstream_index upstream, std::uint32_t failures,
                             time_point now) {
   const auto& service = directory_.at(upstream).record.service;
--- a/src/forwarding/route_table.cc
+++ b/src/forwarding/route_table.cc
@@ -41,6 +41,12 @@
   return found == by_name_.end() ? unlisted : *found->second;
 }
 
+bool route_table::is_repeatable(const flow_ends& flow) const {
+  const auto* matched_route = find(flow.service);
+  return matched_route != nullptr &&
+         matched_route->type != request_type::non_idempotent;
+}
+
 duration route_table::longest_warmup() const {
   duration longest{0};
   if (source_) {
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -15,9 +15,14 @@
   to.setOmitted(item.omitted);
 }
 
+// Texts may contain zero bytes.
+std::string read(capnp::Text::Reader from) {
+  return {from.begin(), from.size()};
+}
+
 kv_item read(wire::StoreItem::Reader from) {
   const auto value = from.getValue();
-  return {from.getKey().cStr(),
+  return {read(from.getKey()),
           {reinterpret_cast<const char*>(value.begin()), value.size()},
           revision(from.getChanged()),
           from.getRemoved(),
@@ -61,15 +66,16 @@
     entries[i].setReporter(value_of(reporter));
     entries[i].setUpstream(value_of(failures.upstream));
     entries[i].setCount(failures.count);
+    entries[i].setStalled(failures.stalled);
   }
 }
 
 failure_report read(capnp::List<wire::ReportedFailures>::Reader from) {
   failure_report report;
   for (const auto entry : from) {
-    report.entries.push_back(
-        {incarnation(entry.getReporter()),
-         {upstream_key(entry.getUpstream()), entry.getCount()}});
+    report.entries.push_back({incarnation(entry.getReporter()),
+                              {upstream_key(entry.getUpstream()),
+                               entry.getCount(), entry.getStalled()}});
   }
   return report;
 }
@@ -98,7 +104,7 @@
       encoded, max_spread_message,
       [](wire::SpreadMessage::Reader root) -> std::optional<spread_message> {
         spread_message message;
-        message.sender = root.getSender().cStr();
+        message.sender = read(root.getSender());
         message.run = incarnation(root.getRun());
         message.at = revision(root.getAt());
         message.logical_time = root.getLogicalTime();
--- a/test/fleet/fake_upstream.h
+++ b/test/fleet/fake_upstream.h
@@ -28,7 +28,7 @@
 };
 
 /// An upstream that follows the platform's protocol: accepts packets addressed
-/// to it, opens flows, answers one request on each, and resets unknown flows.
+/// to it, opens flows, answers the requests on each, and resets unknown flows.
 class fake_upstream {
  public:
   fake_upstream(const std::string& hex_id, platform_texts::entry initial_entry)
@@ -56,7 +56,7 @@
     const auto tag = value_of(packet->tag);
     if (packet->opens) {
       openings.push_back(runtime_clock::now());
-      flows_[packet->flow] = false;
+      flows_[packet->flow] = 0;
       return {{answer_kind::handshake, packet->flow, tag, id, duration(0), 0}};
     }
     const auto open_flow = flows_.find(packet->flow);
@@ -67,9 +67,10 @@
       flows_.erase(open_flow);
       return {};
     }
-    if (packet->data.empty() || std::exchange(open_flow->second, true)) {
+    if (packet->data.empty() || packet->sequence <= open_flow->second) {
       return {};
     }
+    open_flow->second = packet->sequence;
     ++requests;
     if (fails) {
       return {{answer_kind::response, packet->flow, tag, id, duration(0),
@@ -120,8 +121,8 @@
   static constexpr std::uint32_t response_bytes = 4000;
 
   platform::packet_codec codec_;
-  /// Whether the request of the flow has run.
-  std::map<flow_ends, bool> flows_;
+  /// Sequence number of each flow's latest request.
+  std::map<flow_ends, std::uint32_t> flows_;
 };
 
 }  // namespace rosemarydrum
--- a/test/fleet/simulated_fleet.cc
+++ b/test/fleet/simulated_fleet.cc
@@ -15,6 +15,7 @@
 constexpr milliseconds fetch_deadline{1500};
 constexpr std::uint16_t peer_port = 7700;
 constexpr std::size_t max_seeds = 3;
+constexpr std::uint32_t first_session_address = 0x64410001;
 
 }  // namespace
 
@@ -23,6 +24,12 @@
                              const auto& datagram) {
                 send_packet(centre, flow, datagram);
               }}),
+      sessions(
+          clock,
+          {[this](const auto& centre, const auto& flow, const auto& datagram) {
+            send_packet(centre, flow, datagram);
+          }},
+          first_session_address),
       data_centres_(data_centres) {
   run_health_checks();
 }
@@ -46,7 +53,8 @@
         if (each.verdict.action == packet_action::forward) {
           forward(data_centre, each.verdict, each.datagram);
         }
-      }};
+      },
+      [this](const flow_reset& each) { reset(each.flow); }};
   auto& node = nodes[name];
   if (node) {
     // Answers to its pending calls may still arrive.
@@ -252,10 +260,17 @@
   if (verdict.action == packet_action::forward) {
     forward(node.record.data_centre, verdict, datagram);
   } else if (verdict.action == packet_action::reset) {
-    clock.after(caller_delay, [this, flow] { callers.on_reset(flow); });
+    reset(flow);
   }
 }
 
+void simulated_fleet::reset(const flow_ends& flow) {
+  clock.after(caller_delay, [this, flow] {
+    callers.on_reset(flow);
+    sessions.on_reset(flow);
+  });
+}
+
 void simulated_fleet::forward(const std::string& from_centre,
                               const packet_verdict& verdict,
                               const bytes& datagram) {
@@ -272,8 +287,10 @@
     clock.after(is_local ? local_delay : remote_delay,
                 [this, to = upstream.get(), sent] {
                   for (const auto& each : to->take(sent)) {
-                    clock.after(each.delay + caller_delay,
-                                [this, each] { callers.on_answer(each); });
+                    clock.after(each.delay + caller_delay, [this, each] {
+                      callers.on_answer(each);
+                      sessions.on_answer(each);
+                    });
                   }
                 });
   }
--- a/test/fleet/simulated_fleet.h
+++ b/test/fleet/simulated_fleet.h
@@ -11,6 +11,7 @@
 
 #include "fleet/fake_callers.h"
 #include "fleet/fake_kv_store.h"
+#include "fleet/fake_sessions.h"
 #include "fleet/fake_upstream.h"
 #include "fleet/platform_texts.h"
 #include "fleet/scheduler.h"
@@ -75,6 +76,7 @@
   std::map<std::string, std::unique_ptr<test_node>> nodes;
   std::map<std::string, std::unique_ptr<fake_upstream>> upstreams;
   fake_callers callers;
+  fake_sessions sessions;
   /// Bytes that members have fetched from each other.
   std::size_t fetched_bytes = 0;
 
@@ -86,6 +88,7 @@
   void deliver(test_node& node, const flow_ends& flow, const bytes& datagram);
   void forward(const std::string& from_centre, const packet_verdict& verdict,
                const bytes& datagram);
+  void reset(const flow_ends& flow);
   void schedule_tick(test_node& node);
   void send(const test_node& from, const spread_datagram& datagram);
   void fetch(test_node& requester, const fetch_request& request);
--- a/test/fleet/test_node.h
+++ b/test/fleet/test_node.h
@@ -22,6 +22,7 @@
     std::function<void(const spread_datagram&)> send;
     std::function<void(const fetch_request&)> fetch;
     std::function<void(const delayed_packet&)> send_delayed;
+    std::function<void(const flow_reset&)> send_reset;
   };
 
   test_node(const member_record& self, fake_kv_store& store, scheduler& time,
@@ -112,6 +113,9 @@
     for (const auto& each : packet_forwarder_.due_packets(false, now)) {
       to_.send_delayed(each);
     }
+    for (const auto& each : packet_forwarder_.take_resets()) {
+      to_.send_reset(each);
+    }
   }
 
   platform::fleet_decoder schema_;
--- a/test/forwarder_fixture.h
+++ b/test/forwarder_fixture.h
@@ -51,6 +51,9 @@
                  time_point) override {
     ++failed;
   }
+  void on_unresponsive(const known_upstream&, time_point) override {
+    ++unresponsive;
+  }
   void on_ejected(const known_upstream& upstream, double, time_point) override {
     ejected.push_back(upstream.record.key);
   }
@@ -63,6 +66,7 @@
   int answers = 0;
   int failed = 0;
   int restored = 0;
+  int unresponsive = 0;
   std::vector<upstream_key> ejected;
   std::vector<std::string> requests;
   std::vector<repeat_cause> causes;
@@ -99,10 +103,17 @@
   }
 
   void add(std::uint64_t key, record_state state = record_state::present) {
+    add_in("north", key, state);
+  }
+  void add_remote(std::uint64_t key) {
+    add_in("south", key, record_state::present);
+  }
+  void add_in(const std::string& data_centre, std::uint64_t key,
+              record_state state) {
     change(upstream_change{state,
                            {upstream_key(key),
                             "desk",
-                            "north",
+                            data_centre,
                             {static_cast<std::uint32_t>(key), 80},
                             4,
                             false,
--- /dev/null
+++ b/test/forwarder_stalls-test.cc
@@ -0,0 +1,346 @@
+#define BOOST_TEST_MODULE forwarder_stalls
+// Long flows whose upstream falls silent without notice, or behind a cut.
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "forwarder_fixture.h"
+
+namespace rosemarydrum {
+namespace {
+
+using test_packets::ack;
+using test_packets::fin;
+using test_packets::flow_of;
+
+constexpr endpoint corrections{0xc6120001, 8080};
+
+/// A forwarder with four upstreams and a second route whose requests must run
+/// at most once. Callers keep their flows open.
+struct long_flows : forwarder_fixture {
+  static constexpr int upstreams = 4;
+
+  long_flows() {
+    auto routes = std::make_shared<fleet_configuration>();
+    routes->version = 2;
+    routes->idle_timeout = seconds(15);
+    for (const auto& [name, address, type] :
+         {std::tuple("r-desk", test_packets::default_service,
+                     request_type::idempotent),
+          std::tuple("r-corrections", corrections,
+                     request_type::non_idempotent)}) {
+      routes->routes.push_back({name,
+                                address,
+                                {{"desk", 1}},
+                                type,
+                                milliseconds(500),
+                                milliseconds(120),
+                                0});
+    }
+    routes->services.push_back({"desk", milliseconds(2000), 0});
+    change(configuration_change{routes});
+    for (int i = 1; i <= upstreams; ++i) {
+      add(static_cast<std::uint64_t>(i));
+    }
+  }
+
+  struct session {
+    packet_verdict opened;
+    flow_ends flow;
+    std::uint32_t sent = 8;
+    std::uint32_t acknowledged = 1;
+  };
+
+  static constexpr std::size_t request_size = 100;
+
+  /// Opens a flow and completes one request on it.
+  std::uint16_t open_session(int ms, const endpoint& service) {
+    const auto port = ++last_port;
+    auto& opened = sessions[port];
+    opened.flow = flow_of(port, service);
+    opened.opened = receive({opened.flow}, at(ms));
+    send(port, ms + 1, {});
+    request(port, ms + 2);
+    answer(port, ms + 20);
+    tested.due_packets(false, at(ms + 80));
+    return port;
+  }
+  /// Opens flows until the upstream has one of `service`.
+  std::uint16_t session_at(
+      upstream_key upstream, int ms,
+      const endpoint& service = test_packets::default_service) {
+    for (int i = 0; i < 400; ++i) {
+      const auto port = open_session(ms, service);
+      if (sessions[port].opened.upstream == upstream) {
+        return port;
+      }
+    }
+    BOOST_FAIL("no flow was placed at the upstream");
+    return 0;
+  }
+
+  packet_verdict send(std::uint16_t port, int ms, const std::string& data,
+                      std::uint8_t flags = ack) {
+    const auto& each = sessions[port];
+    return receive({each.flow, flags, each.sent, each.acknowledged,
+                    value_of(each.opened.tag)},
+                   at(ms), data);
+  }
+  packet_verdict request(std::uint16_t port, int ms) {
+    const auto verdict = repeat(port, ms);
+    sessions[port].sent += request_size;
+    last_request[port] = sessions[port].sent - request_size;
+    return verdict;
+  }
+  /// Sends the data of the next request without advancing.
+  packet_verdict repeat(std::uint16_t port, int ms) {
+    return send(port, ms, std::string(request_size, 'x'));
+  }
+  /// Sends the data of the current request again.
+  packet_verdict copy(std::uint16_t port, int ms) {
+    const auto sent = std::exchange(sessions[port].sent, last_request[port]);
+    const auto verdict = repeat(port, ms);
+    sessions[port].sent = sent;
+    return verdict;
+  }
+  void answer(std::uint16_t port, int ms) {
+    sessions[port].acknowledged += 2000;
+    send(port, ms, {});
+  }
+  /// Keeps the other upstreams answering until `ms`.
+  void run_until(int ms) {
+    for (; time < ms; time += 10) {
+      for (const auto port : healthy) {
+        request(port, time);
+        answer(port, time + 5);
+      }
+      tested.due_packets(false, at(time + 6));
+    }
+  }
+  std::vector<std::uint16_t> resets() {
+    std::vector<std::uint16_t> ports;
+    for (const auto& [flow, acknowledged] : tested.take_resets()) {
+      ports.push_back(flow.caller.port);
+      BOOST_CHECK_EQUAL(acknowledged, sessions[flow.caller.port].acknowledged);
+    }
+    std::sort(ports.begin(), ports.end());
+    return ports;
+  }
+
+  std::map<std::uint16_t, session> sessions;
+  std::map<std::uint16_t, std::uint32_t> last_request;
+  std::vector<std::uint16_t> healthy;
+  std::uint16_t last_port = 0;
+  int time = 200;
+};
+
+const upstream_key dead{3};
+
+// Guards against callers that wait until their time limit on each flow of an
+// upstream that has fallen silent, and that lose the next request on each idle
+// one.
+BOOST_FIXTURE_TEST_CASE(flows_of_a_silent_upstream_are_reset, long_flows) {
+  const auto one = session_at(dead, 0);
+  const auto other = session_at(dead, 0);
+  const auto idle = session_at(dead, 0);
+  const auto idle_correction = session_at(dead, 0, corrections);
+  const auto correction = session_at(dead, 0, corrections);
+  healthy = {session_at(upstream_key(1), 100)};
+  run_until(300);
+  request(one, 300);
+  request(other, 310);
+  request(correction, 310);
+  run_until(500);
+  copy(one, 500);
+  run_until(510);
+  copy(other, 510);
+  run_until(600);
+  BOOST_CHECK(resets().empty());
+  run_until(640);
+  std::vector<std::uint16_t> expected;
+  for (const auto& [port, each] : sessions) {
+    if (each.opened.upstream == dead && port != correction) {
+      expected.push_back(port);
+    }
+  }
+  BOOST_CHECK(resets() == expected);
+  for (const auto port : {one, other, idle, idle_correction}) {
+    BOOST_CHECK(std::count(expected.begin(), expected.end(), port) == 1);
+  }
+  BOOST_CHECK_EQUAL(observer.unresponsive, 1);
+  // New flows avoid it.
+  for (int i = 0; i < 8; ++i) {
+    BOOST_CHECK(sessions[open_session(640, test_packets::default_service)]
+                    .opened.upstream != dead);
+  }
+}
+
+// Guards against resets because of a lost packet: the upstream answers the
+// copy, or its other callers.
+BOOST_FIXTURE_TEST_CASE(lost_packets_reset_nothing, long_flows) {
+  const auto one = session_at(dead, 0);
+  const auto other = session_at(dead, 0);
+  healthy = {session_at(upstream_key(1), 100)};
+  run_until(300);
+  request(one, 300);
+  run_until(500);
+  copy(one, 500);
+  run_until(510);
+  answer(one, 510);
+  request(other, 510);
+  run_until(710);
+  copy(other, 710);
+  run_until(750);
+  request(one, 750);
+  answer(one, 760);
+  run_until(1500);
+  BOOST_CHECK(resets().empty());
+  BOOST_CHECK_EQUAL(observer.unresponsive, 0);
+}
+
+// Guards against resets during a rolling stop of forwarders: the first packet
+// that arrives here is the caller's copy, as another forwarder has lost the
+// original.
+BOOST_FIXTURE_TEST_CASE(moved_flows_are_not_reset, long_flows) {
+  healthy = {session_at(upstream_key(1), 100)};
+  run_until(300);
+  const auto tag = value_of(upstream_directory::tag_of(dead));
+  for (std::uint16_t port = 900; port < 910; ++port) {
+    receive({flow_of(port), ack, 8, 1, tag}, at(300), "GET / HTTP/1.1\r\n\r\n");
+  }
+  run_until(480);
+  for (std::uint16_t port = 900; port < 910; ++port) {
+    receive({flow_of(port), ack, 8, 2000, tag}, at(480));
+  }
+  run_until(1500);
+  BOOST_CHECK(resets().empty());
+}
+
+// Guards against a single long flow that waits although all its copies were
+// lost.
+BOOST_FIXTURE_TEST_CASE(two_copies_of_one_request_are_enough, long_flows) {
+  const auto only = session_at(dead, 0);
+  healthy = {session_at(upstream_key(1), 100)};
+  run_until(300);
+  request(only, 300);
+  run_until(500);
+  copy(only, 500);
+  run_until(900);
+  copy(only, 900);
+  run_until(990);
+  BOOST_CHECK(resets().empty());
+  run_until(1020);
+  const auto reset = resets();
+  BOOST_CHECK(std::count(reset.begin(), reset.end(), only) == 1);
+}
+
+// Guards against waiting for a second stalled flow of an upstream whose entry
+// is gone.
+BOOST_FIXTURE_TEST_CASE(one_stall_is_enough_if_the_entry_is_gone, long_flows) {
+  const auto one = session_at(dead, 0);
+  const auto idle = session_at(dead, 0);
+  healthy = {session_at(upstream_key(1), 100)};
+  run_until(300);
+  add(3, record_state::removed);
+  fleet_update confirmed;
+  confirmed.confirmed_at = at(300);
+  tested.on_update(confirmed, at(300));
+  request(one, 300);
+  run_until(500);
+  BOOST_CHECK(resets().empty());
+  copy(one, 500);
+  run_until(620);
+  const auto reset = resets();
+  BOOST_CHECK(std::count(reset.begin(), reset.end(), one) == 1);
+  BOOST_CHECK(std::count(reset.begin(), reset.end(), idle) == 1);
+}
+
+// Guards against answers that a stalled process has not read, and against a
+// process that was cut off and judges by what it missed.
+BOOST_FIXTURE_TEST_CASE(own_stalls_reset_nothing, long_flows) {
+  const auto one = session_at(dead, 0);
+  const auto other = session_at(dead, 0);
+  healthy = {session_at(upstream_key(1), 100)};
+  run_until(300);
+  request(one, 300);
+  request(other, 300);
+  run_until(500);
+  copy(one, 500);
+  copy(other, 500);
+  tested.on_stall(milliseconds(500), at(520));
+  run_until(900);
+  copy(one, 900);
+  fleet_update reconnected;
+  reconnected.reconnected = true;
+  tested.on_update(reconnected, at(905));
+  run_until(1200);
+  BOOST_CHECK(resets().empty());
+}
+
+// Guards against a member with few flows of an upstream that learns too late
+// that it is silent.
+BOOST_FIXTURE_TEST_CASE(stalls_reported_by_members_count, long_flows) {
+  const auto idle = session_at(dead, 0);
+  healthy = {session_at(upstream_key(1), 100)};
+  run_until(1000);
+  fleet_update reported;
+  reported.failures = {{dead, 0, 1}};
+  tested.on_update(reported, at(1000));
+  BOOST_CHECK(resets().empty());
+  tested.on_update(reported, at(1010));
+  const auto reset = resets();
+  BOOST_CHECK(std::count(reset.begin(), reset.end(), idle) == 1);
+  // Stalls reported by other members are not reported again.
+  BOOST_CHECK(!tested.has_failures());
+  // An upstream that answers here is not reset.
+  reported.failures = {{upstream_key(1), 0, 5}};
+  tested.on_update(reported, at(1010));
+  BOOST_CHECK(resets().empty());
+}
+
+// Guards against forwarding a request to an upstream that is known to be
+// silent; its caller would wait for its time limit.
+BOOST_FIXTURE_TEST_CASE(requests_to_a_silent_upstream_are_reset_at_once,
+                        long_flows) {
+  healthy = {session_at(upstream_key(1), 100)};
+  run_until(1000);
+  fleet_update reported;
+  reported.failures = {{dead, 0, 2}};
+  tested.on_update(reported, at(1000));
+  resets();
+  const auto tag = value_of(upstream_directory::tag_of(dead));
+  const auto verdict = receive({flow_of(900), ack, 8, 1, tag}, at(1100),
+                               "GET / HTTP/1.1\r\n\r\n");
+  BOOST_CHECK(verdict.action == packet_action::reset);
+  BOOST_CHECK(verdict.reason == verdict_reason::unresponsive);
+  // A correction may be running already, and its caller may not repeat it.
+  BOOST_CHECK(receive({flow_of(901, corrections), ack, 8, 1, tag}, at(1100),
+                      "POST / HTTP/1.1\r\n\r\n")
+                  .action == packet_action::forward);
+  // Without further stalls it is tried again.
+  BOOST_CHECK(receive({flow_of(902), ack, 8, 1, tag}, at(2100),
+                      "GET / HTTP/1.1\r\n\r\n")
+                  .action == packet_action::forward);
+}
+
+// Guards against long flows to other data centres, which end with a cut,
+// although upstreams of this one have little to do.
+BOOST_FIXTURE_TEST_CASE(idle_flows_count_little, long_flows) {
+  add_remote(21);
+  add_remote(22);
+  int remote = 0;
+  for (int i = 0; i < 60; ++i) {
+    const auto port =
+        open_session(100 + 100 * i, test_packets::default_service);
+    remote += sessions[port].opened.upstream >= upstream_key(21) ? 1 : 0;
+  }
+  BOOST_CHECK_EQUAL(remote, 0);
+  // While requests are in progress the flows count in full.
+  for (const auto& [port, each] : sessions) {
+    request(port, 6200);
+  }
+  const auto next = receive({flow_of(9000)}, at(6210));
+  BOOST_CHECK(next.upstream >= upstream_key(21));
+}
+
+}  // namespace
+}  // namespace rosemarydrum
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -126,7 +126,7 @@
       BOOST_CHECK(reason == placement_reason::probe);
       ++probes;
       make_silent(silent, at(ms));
-      tested.on_ended(silent);
+      tested.on_load(silent, flow_load::active, flow_load::none);
     }
   }
   BOOST_CHECK_GE(probes, 2);
