Let starts and takeovers cost the store less

All members that could not renew a lease of 60 s tried again every 0.2 s.

Change: the first list is stale (a tenth of the price) and is completed by one watch from a revision that no page is older than; without that history all items are listed as before. A new reader watches from what it knows. Ranks from the ninth on take over one after the other. Members wait 0.5 s for the reader's bulletin before they check. Members are asked 150 ms after a start, when the store has not answered. A removed item gets its last value also if its removal was known first (found by open_flows_survive_a_restarted_forwarder).

Ruled out: trusting the revision in a stale answer (it may be newer than the page); longer pauses between watches (changes_are_received_at_once).

--- a/src/requests/token.cc
+++ b/src/requests/token.cc
@@ -6,7 +6,8 @@
 
 // For small inputs of fixed size the inlined hash is faster than a call. By
 // default it reads its input through pointers of other types on some
-// processors, which breaks strict aliasing once it is inlined; 0 selects memcpy.
+// processors, which breaks strict aliasing once it is inlined; 0 selects
+// memcpy.
 #define XXH_FORCE_MEMORY_ACCESS 0
 #define XXH_INLINE_ALL
 #include <xxhash.h>
--- a/src/spread/member_registration.cc
+++ b/src/spread/member_registration.cc
@@ -11,6 +11,8 @@
 constexpr int renewals_per_lease = 3;
 constexpr milliseconds initial_retry_delay{200};
 constexpr milliseconds max_retry_delay{5000};
+/// A lease that cannot be renewed is valid for much longer than this.
+constexpr milliseconds renewal_retry_delay{2000};
 
 }  // namespace
 
@@ -52,6 +54,8 @@
           } else if (renewed.error == error_kind::none) {
             self->on_success();
           } else {
+            self->retry_delay =
+                std::max<duration>(self->retry_delay, renewal_retry_delay);
             self->on_failure();
           }
         });
--- a/src/spread/reader_choice.cc
+++ b/src/spread/reader_choice.cc
@@ -12,10 +12,13 @@
 /// A bulletin proves a working reader only if its age is below this share of
 /// the maximum age. Other members take over when the age of their last
 /// confirmation reaches the share plus one step per rank, so that they do not
-/// take over all at once.
+/// take over all at once. The steps of the first ranks are longer than a call
+/// to the store; the others follow if all of these have failed.
 constexpr int reader_max_age_percent = 38;
 constexpr int takeover_step_percent = 5;
-constexpr std::size_t max_takeover_rank = 8;
+constexpr std::size_t first_ranks = 8;
+constexpr int late_step_permille = 4;
+constexpr int max_takeover_age_permille = 980;
 
 }  // namespace
 
@@ -76,10 +79,13 @@
 }
 
 duration reader_choice::takeover_age(milliseconds max_age) const {
-  const auto capped_rank =
-      static_cast<int>(std::min(rank(), max_takeover_rank));
-  return max_age *
-         (reader_max_age_percent + takeover_step_percent * capped_rank) / 100;
+  const auto own_rank = rank();
+  const auto early = static_cast<int>(std::min(own_rank, first_ranks));
+  const auto late = static_cast<int>(own_rank) - early;
+  const auto permille =
+      10 * (reader_max_age_percent + takeover_step_percent * early) +
+      late_step_permille * late;
+  return max_age * std::min(permille, max_takeover_age_permille) / 1000;
 }
 
 }  // namespace rosemarydrum
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -12,6 +12,10 @@
 constexpr milliseconds bulletin_interval{300};
 /// Instances of a fleet that start together register within this time.
 constexpr milliseconds join_window{600};
+/// The reader's first bulletin arrives within this time after the join window.
+constexpr milliseconds first_bulletin_time{500};
+/// A process that starts first waits this long for the store.
+constexpr milliseconds first_inquiry_delay{150};
 /// After a stall, messages and answers confirm nothing for this time, in which
 /// the queued ones are processed.
 constexpr milliseconds stall_drain_time{100};
@@ -29,6 +33,7 @@
       replica_(replica),
       random_(static_cast<std::minstd_rand::result_type>(settings_.seed)),
       choice_(settings_.self, members_),
+      next_inquiry_(now + first_inquiry_delay),
       next_fetch_(now) {}
 
 void replica_spread::on_store_answer(const item_listing& listing,
@@ -193,7 +198,9 @@
   if (leaving_ || now < join_window_end_) {
     return follow_mode::idle;
   }
-  if (replica_.confirmed_at() < join_window_end_ &&
+  const bool may_check =
+      is_reading_ || now >= join_window_end_ + first_bulletin_time;
+  if (may_check && replica_.confirmed_at() < join_window_end_ &&
       !choice_.has_outranking_reader(now)) {
     return follow_mode::check;
   }
--- a/src/store/item_replica.cc
+++ b/src/store/item_replica.cc
@@ -37,6 +37,12 @@
     }
     return false;
   }
+  if (item.changed == known.item.changed && item.removed &&
+      known.item.value.empty() && !item.value.empty()) {
+    // Another member knows the last value of a removed item.
+    known.item.value = item.value;
+    return known.item.removed;
+  }
   if (item.changed <= known.item.changed) {
     return false;
   }
--- a/src/store/store_follower.cc
+++ b/src/store/store_follower.cc
@@ -1,8 +1,10 @@
 #include "rosemarydrum/store/store_follower.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "rosemarydrum/runtime_clock.h"
+#include "stale_listing.h"
 
 namespace rosemarydrum {
 namespace {
@@ -16,6 +18,8 @@
 /// Assumed upper bound of the time from the store's sending of a watch answer
 /// to its arrival.
 constexpr milliseconds max_transit_time{200};
+/// A watch with fewer changes than this has returned all of them.
+constexpr std::size_t max_complete_changes = 400;
 
 }  // namespace
 
@@ -31,8 +35,15 @@
     if (busy || now < next_call) {
       return;
     }
+    const bool follows = mode == follow_mode::follow;
+    if (!std::exchange(was_following, follows) && follows) {
+      // The first watch returns what this process has missed.
+      next_relist = std::max(next_relist, now + settings.relist_interval);
+    }
     const bool is_empty = replica.at() == revision{};
-    if (is_empty || (mode != follow_mode::idle && must_relist)) {
+    if (is_empty && may_list_stale) {
+      list_stale();
+    } else if (is_empty || (mode != follow_mode::idle && must_relist)) {
       list_all(now);
     } else if (mode == follow_mode::check) {
       watch(check_wait, now);
@@ -49,6 +60,52 @@
     }
   }
 
+  // Nearly all of a large store is as it was seconds ago, so that a stale list
+  // and the changes since cost less than a list of all items as they are now.
+  void list_stale() {
+    busy = true;
+    initial = {};
+    list_stale_page({});
+  }
+
+  void list_stale_page(const std::string& after) {
+    store.list({}, after, read_freshness::stale,
+               [self = shared_from_this()](const kv_read_result& page) {
+                 self->on_stale_page(page);
+               });
+  }
+
+  void on_stale_page(const kv_read_result& page) {
+    if (page.error != error_kind::none) {
+      on_failure(page.error);
+      return;
+    }
+    initial.add_page(page);
+    if (page.more && !page.items.empty()) {
+      list_stale_page(page.items.back().key);
+      return;
+    }
+    as_of = runtime_clock::now();
+    store.watch({}, initial.start(), check_wait,
+                [self = shared_from_this()](const kv_watch_result& changes) {
+                  self->on_changes_since_stale_list(changes);
+                });
+  }
+
+  void on_changes_since_stale_list(const kv_watch_result& changes) {
+    const bool is_complete =
+        changes.error == error_kind::none &&
+        changes.items.size() < max_complete_changes &&
+        (!changes.items.empty() || changes.at == initial.start());
+    if (!is_complete) {
+      may_list_stale = false;
+      list_all(runtime_clock::now());
+      return;
+    }
+    next_relist = runtime_clock::now() + settings.relist_interval;
+    finish(std::exchange(initial, {}).complete(changes));
+  }
+
   void list_all(time_point now) {
     busy = true;
     as_of = now;
@@ -145,12 +202,16 @@
   receiver callbacks;
   bool busy = false;
   bool must_relist = false;
+  bool was_following = false;
+  /// False if the changes since a stale list were not available.
+  bool may_list_stale = true;
   int failures = 0;
   /// The pending call's answer includes all changes up to this time.
   time_point as_of;
   time_point next_call;
   time_point next_relist;
   item_listing listed;
+  detail::stale_listing initial;
 };
 
 store_follower::store_follower(kv_store& store, const item_replica& replica,
--- a/test/item_replica-test.cc
+++ b/test/item_replica-test.cc
@@ -163,5 +163,23 @@
   }
 }
 
+// Guards against losing the last value of an item whose removal became known
+// first, as flows of a removed upstream need it.
+BOOST_AUTO_TEST_CASE(removals_may_become_known_before_the_value) {
+  constexpr time_point now{seconds(100)};
+  item_replica replica(seconds(60));
+  replica.apply({{{"a", {}, revision(7), true, false, {}}},
+                 false,
+                 revision{},
+                 revision(7)},
+                now);
+  const kv_item with_value{"a", "last", revision(7), true, false, {}};
+  BOOST_CHECK_EQUAL(replica.apply({{with_value}, false, {}, {}}, now).size(),
+                    1U);
+  BOOST_CHECK(replica.find("a")->removed);
+  BOOST_CHECK_EQUAL(replica.find("a")->value, "last");
+  BOOST_CHECK(replica.apply({{with_value}, false, {}, {}}, now).empty());
+}
+
 }  // namespace
 }  // namespace rosemarydrum
--- a/test/store_follower-test.cc
+++ b/test/store_follower-test.cc
@@ -141,5 +141,58 @@
   BOOST_CHECK(replica.find("a")->removed);
 }
 
+// Guards against a first list at full price, which every process of a large
+// fleet makes at the same time, and against outdated items in it.
+BOOST_FIXTURE_TEST_CASE(the_first_list_is_stale_and_caught_up, fixture) {
+  mode = follow_mode::idle;
+  client.fault = store_fault::refuses;
+  store.page_size = 2;
+  store.stale_lag = seconds(3);
+  for (const auto* key : {"b", "c", "d", "e"}) {
+    store.put(key, "1");
+  }
+  clock.run_for(seconds(4));
+  store.put("c", "2");
+  store.remove("d");
+  client.fault = store_fault::none;
+  clock.run_for(seconds(2));
+  BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+  BOOST_CHECK(answers[0].complete);
+  BOOST_CHECK_EQUAL(replica.find("c")->value, "2");
+  BOOST_CHECK_EQUAL(replica.find("e")->value, "1");
+  BOOST_CHECK(replica.find("d")->removed);
+  BOOST_CHECK_EQUAL(client.calls, 1);
+}
+
+// Guards against stale items that stay because the changes since have been
+// dropped.
+BOOST_FIXTURE_TEST_CASE(a_stale_list_without_history_is_not_used, fixture) {
+  mode = follow_mode::idle;
+  clock.run_for(milliseconds(1));
+  store.stale_lag = milliseconds(50);
+  store.put("a", "2");
+  store.drop_history();
+  clock.run_for(milliseconds(200));
+  BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+  BOOST_CHECK_EQUAL(replica.find("a")->value, "2");
+}
+
+// Guards against members that list all items when they take over from a reader
+// that has failed, as many do at the same time after an outage of the store.
+BOOST_FIXTURE_TEST_CASE(a_new_reader_catches_up_without_a_list, fixture) {
+  mode = follow_mode::idle;
+  clock.run_for(seconds(15));
+  store.put("b", "2");
+  store.remove("a");
+  mode = follow_mode::follow;
+  clock.run_for(seconds(2));
+  BOOST_CHECK(replica.find("a")->removed);
+  BOOST_CHECK_EQUAL(replica.find("b")->value, "2");
+  BOOST_CHECK_EQUAL(
+      std::count_if(answers.begin(), answers.end(),
+                    [](const auto& each) { return each.complete; }),
+      1);
+}
+
 }  // namespace
 }  // namespace rosemarydrum
