Drop a second copy of an answer on an idle connection

Cause: bytes that arrived while no call was in progress stayed in the socket or in the buffer, and the next call on the connection took them for its answer. Shown by copies_of_answers_are_dropped, which failed (the answer for "a" was returned for "b").

Change: before a connection is used again, unread bytes replace it by a new one. A copy that arrives while the next call waits can't be told apart in HTTP/1.1 without ids; its effects are bounded, as items are taken over by revision only.

--- a/apps/io/http_connection.cc
+++ b/apps/io/http_connection.cc
@@ -55,6 +55,12 @@
   }
 }
 
+bool http_connection::has_stray_bytes() const {
+  boost::system::error_code error;
+  const auto unread = state_->socket.available(error);
+  return error || unread > 0 || state_->buffer.size() > 0;
+}
+
 void http_connection::start() {
   call_in_progress_ = true;
   sent_ = timed_out_ = false;
@@ -69,7 +75,7 @@
       self->fail(call_number);
     }
   });
-  if (state_ && now - last_used_ < max_idle_time) {
+  if (state_ && now - last_used_ < max_idle_time && !has_stray_bytes()) {
     write(call_number);
     return;
   }
--- a/apps/io/http_connection.h
+++ b/apps/io/http_connection.h
@@ -36,7 +36,8 @@
 
 /// An HTTP/1.1 client connection, opened on demand. Calls are queued and made
 /// one at a time. A call that misses its deadline closes the connection, and
-/// the next call opens a new one. Not thread-safe: used only on the thread of
+/// the next call opens a new one, as it does after bytes that belong to no
+/// call, such as a second copy of an answer. Not thread-safe: used only on the thread of
 /// its io_context.
 class http_connection : public std::enable_shared_from_this<http_connection> {
  public:
@@ -75,6 +76,7 @@
   void finish(std::uint64_t number, const http_answer& answer);
   void fail(std::uint64_t number);
   void disconnect();
+  bool has_stray_bytes() const;
 
   boost::asio::io_context& io_;
   endpoint_type server_;
--- a/test/store_client-test.cc
+++ b/test/store_client-test.cc
@@ -26,6 +26,8 @@
     std::string body;
     /// Closes the connection instead of answering.
     bool cut = false;
+    /// Sends the answer a second time.
+    bool twice = false;
   };
 
   explicit canned_server(std::deque<response> responses)
@@ -65,6 +67,9 @@
         answer.body() = next.body;
         answer.prepare_payload();
         http::write(socket, answer, error);
+        if (next.twice) {
+          http::write(socket, answer, error);
+        }
       }
     }
   }
@@ -205,6 +210,29 @@
   BOOST_CHECK(ended.error == error_kind::not_found);
 }
 
+// Guards against a second copy of an answer that the next call takes for its
+// own.
+BOOST_AUTO_TEST_CASE(copies_of_answers_are_dropped) {
+  canned_server server(
+      {{200, R"({"Key":"a","Value":"e30=","Rev":4,"CurrentRev":9})", false,
+        true},
+       {200, R"({"Key":"b","Value":"e30=","Rev":5,"CurrentRev":9})"}});
+  asio::io_context io;
+  store_client client(io, server.address());
+  for (const std::string key : {"a", "b"}) {
+    std::optional<kv_read_result> read;
+    client.get(key, read_freshness::linearizable,
+               [&](const kv_read_result& got) { read = got; });
+    while (!read) {
+      io.run_one();
+    }
+    BOOST_REQUIRE_EQUAL(read->items.size(), 1U);
+    BOOST_CHECK_EQUAL(read->items[0].key, key);
+    // The copy arrives while no call is in progress.
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
+
 // Guards against malformed responses that are treated as empty ones.
 BOOST_AUTO_TEST_CASE(unreadable_answers_are_errors) {
   for (const std::string body :
