--- a/apps/io/http_connection.h
+++ b/apps/io/http_connection.h
@@ -37,8 +37,8 @@
 /// An HTTP/1.1 client connection, opened on demand. Calls are queued and made
 /// one at a time. A call that misses its deadline closes the connection, and
 /// the next call opens a new one, as it does after bytes that belong to no
-/// call, such as a second copy of an answer. Not thread-safe: used only on the thread of
-/// its io_context.
+/// call, such as a second copy of an answer. Not thread-safe: used only on the
+/// thread of its io_context.
 class http_connection : public std::enable_shared_from_this<http_connection> {
  public:
   using callback = std::function<void(const http_answer&)>;
