--- a/include/rosemarydrum/forwarding/open_flows.h
+++ b/include/rosemarydrum/forwarding/open_flows.h
@@ -105,13 +105,6 @@
     }
   }
 
-  template <typename Visit>
-  void for_each(Visit&& visit) const {
-    for (const auto& [ends, flow] : flows_) {
-      visit(flow);
-    }
-  }
-
   template <typename Matches>
   void erase_if(Matches&& matches) {
     boost::unordered::erase_if(
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -170,64 +170,6 @@
   service_flow_time_[directory_.at(upstream).record.service].add(took, now);
 }
 
-bool placement::on_answered(upstream_index upstream, duration warmup,
-                            time_point sent, time_point now) {
-  auto& state = state_of(upstream);
-  const bool was_silent = state.health.on_answered(sent);
-  if (was_silent) {
-    state.assumed_cold_until = std::max(state.assumed_cold_until, now + warmup);
-  }
-  return was_silent;
-}
-
-bool placement::on_unanswered(upstream_index upstream, time_point sent,
-                              time_point now) {
-  auto& state = state_of(upstream);
-  const bool became_silent = state.health.on_unanswered(sent, now);
-  if (became_silent) {
-    spread_retries(state, now);
-  }
-  return became_silent;
-}
-
-void placement::on_unresponsive(upstream_index upstream, time_point now) {
-  auto& state = state_of(upstream);
-  const bool was_silent = state.health.is_silent();
-  state.health.on_unresponsive(now);
-  if (!was_silent) {
-    spread_retries(state, now);
-  }
-}
-
-void placement::on_responsive(upstream_index upstream) {
-  state_of(upstream).health.reset();
-}
-
-void placement::spread_retries(upstream_state& state, time_point now) {
-  const auto interval = cold_budget_.shared_interval(settings_.cold_extra);
-  const auto fraction = static_cast<double>(random_() - random_.min()) /
-                        static_cast<double>(random_.max() - random_.min());
-  state.cold_flow_at =
-      now - duration(static_cast<duration::rep>(
-                fraction * static_cast<double>(interval.count())));
-}
-
-bool placement::on_failures(upstream_index upstream, std::uint32_t failures,
-                            time_point now) {
-  const auto& service = directory_.at(upstream).record.service;
-  return outliers_.add(upstream, failures, directory_.of_service(service), now);
-}
-
-void placement::on_record(upstream_index upstream) {
-  state_of(upstream).health.reset();
-}
-
-void placement::reset_handshake_health() {
-  for (auto& state : states_) {
-    state.health.reset();
-  }
-}
-
 void placement::forget(upstream_index upstream) {
   state_of(upstream) = {};
   outliers_.forget(upstream);
@@ -238,16 +180,6 @@
   return position < states_.size() ? states_[position].in_flight : 0;
 }
 
-int placement::unanswered(upstream_index upstream) const {
-  const auto position = value_of(upstream);
-  return position < states_.size() ? states_[position].health.unanswered() : 0;
-}
-
-bool placement::is_silent(upstream_index upstream) const {
-  const auto position = value_of(upstream);
-  return position < states_.size() && states_[position].health.is_silent();
-}
-
 upstream_counts placement::count_upstreams(const std::string& service,
                                            time_point now) const {
   upstream_counts counted;
--- a/test/odd_entries-test.cc
+++ b/test/odd_entries-test.cc
@@ -117,7 +117,7 @@
   }
 }
 
-// As above, for entries that nobody thought of.
+// As above, for random entries.
 BOOST_AUTO_TEST_CASE(random_entries_are_survived) {
   std::minstd_rand random(7);
   upstream_directory directory;
