--- a/src/forwarding/forwarder_responses.cc
+++ b/src/forwarding/forwarder_responses.cc
@@ -108,7 +108,9 @@
   const auto entry =
       std::find_if(failures_.begin(), failures_.end(),
                    [key](const auto& each) { return each.upstream == key; });
-  return entry == failures_.end() ? failures_.emplace_back(key) : *entry;
+  return entry == failures_.end()
+             ? failures_.emplace_back(upstream_failures{.upstream = key})
+             : *entry;
 }
 
 void forwarder::on_failures(upstream_index upstream, std::uint32_t count,
