--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -134,7 +134,7 @@
   upstream_failures& failures_of(upstream_index upstream);
   void check_stalls(time_point now);
   void record_stall(open_flow& flow, time_point now);
-  stall_context stall_context_of(upstream_index upstream) const;
+  bool needs_stall_reporter(upstream_index upstream) const;
   void on_unresponsive(upstream_index upstream, time_point now);
   bool may_reset(const open_flow& flow) const;
   void reset_flow(const open_flow& flow, time_point now);
--- a/include/rosemarydrum/forwarding/stall_detector.h
+++ b/include/rosemarydrum/forwarding/stall_detector.h
@@ -15,19 +15,12 @@
 /// upstream counts as responsive again after this time.
 inline constexpr milliseconds stall_memory{1000};
 
-/// What is known of an upstream besides its answers.
-struct stall_context {
-  /// Its entry was removed from the store, not only because the store was away.
-  bool is_gone = false;
-  /// Other members should see it stall as well if it is down: it is in another
-  /// data centre, and the way there from this process alone may be cut.
-  bool needs_reporter = false;
-};
-
 /// Tells upstreams that have stopped answering from lost packets. A flow stalls
 /// when its caller has retransmitted data of a request and still has no answer.
 /// Upstreams acknowledge data at once, also while they are slow or full. Stalls
-/// that other members report count only together with one of this process.
+/// that other members report count only together with one of this process. An
+/// upstream `needs_reporter` if the way to it may be cut for this process
+/// alone.
 class stall_detector {
  public:
   /// A caller acknowledged an answer or a handshake of the upstream. Returns
@@ -38,11 +31,11 @@
   bool has_answered_since(time_point time) const { return answered_at_ > time; }
   /// A flow of the upstream has stalled whose request was sent at `sent`.
   /// Returns true if this makes the upstream unresponsive.
-  bool on_stalled(upstream_index upstream, time_point sent,
-                  const stall_context& context, time_point now);
+  bool on_stalled(upstream_index upstream, time_point sent, bool needs_reporter,
+                  time_point now);
   /// As `on_stalled`, for a flow of another member.
   bool on_reported(upstream_index upstream, incarnation reporter,
-                   const stall_context& context, time_point now);
+                   bool needs_reporter, time_point now);
   bool is_unresponsive(upstream_index upstream, time_point now) const;
 
   /// Requests sent before `now` no longer count, because this process did not
@@ -63,8 +56,7 @@
 
   entry& entry_of(upstream_index upstream);
   static void begin_period(entry& known, time_point now);
-  static bool update(entry& known, const stall_context& context,
-                     time_point now);
+  static bool update(entry& known, bool needs_reporter, time_point now);
 
   std::vector<entry> entries_;
   /// When any upstream answered last.
--- a/src/forwarding/forwarder_stalls.cc
+++ b/src/forwarding/forwarder_stalls.cc
@@ -24,7 +24,7 @@
   ++failures_of(upstream).stalled;
   observer_.on_flow_stalled(flow, directory_.at(upstream), now);
   if (stalls_.on_stalled(upstream, flow.progress.sent_at(),
-                         stall_context_of(upstream), now)) {
+                         needs_stall_reporter(upstream), now)) {
     on_unresponsive(upstream, now);
   }
   if (!stalls_.is_unresponsive(upstream, now)) {
@@ -37,12 +37,11 @@
   }
 }
 
-stall_context forwarder::stall_context_of(upstream_index upstream) const {
-  const auto& known = directory_.at(upstream);
-  const bool is_remote = known.record.data_centre != settings_.data_centre;
-  return {
-      .is_gone = known.state == listing::gone && confirmed_ >= known.gone_at,
-      .needs_reporter = is_remote && data_centre_peers_ > 0};
+// The way to another data centre may be cut for this process alone. Other
+// members, if there are any, then get answers from there.
+bool forwarder::needs_stall_reporter(upstream_index upstream) const {
+  return data_centre_peers_ > 0 &&
+         directory_.at(upstream).record.data_centre != settings_.data_centre;
 }
 
 void forwarder::on_unresponsive(upstream_index upstream, time_point now) {
--- a/src/forwarding/forwarder_updates.cc
+++ b/src/forwarding/forwarder_updates.cc
@@ -44,7 +44,7 @@
     if (const auto index = directory_.find(failures.upstream)) {
       on_failures(*index, failures.count, now);
       if (failures.stalled > 0 &&
-          stalls_.on_reported(*index, reporter, stall_context_of(*index),
+          stalls_.on_reported(*index, reporter, needs_stall_reporter(*index),
                               now)) {
         on_unresponsive(*index, now);
       }
--- a/src/forwarding/stall_detector.cc
+++ b/src/forwarding/stall_detector.cc
@@ -14,18 +14,18 @@
 }
 
 bool stall_detector::on_stalled(upstream_index upstream, time_point sent,
-                                const stall_context& context, time_point now) {
+                                bool needs_reporter, time_point now) {
   auto& known = entry_of(upstream);
   if (sent < counted_since_ || sent <= known.answered_at) {
     return false;
   }
   begin_period(known, now);
   ++known.stalled;
-  return update(known, context, now);
+  return update(known, needs_reporter, now);
 }
 
 bool stall_detector::on_reported(upstream_index upstream, incarnation reporter,
-                                 const stall_context& context, time_point now) {
+                                 bool needs_reporter, time_point now) {
   auto& known = entry_of(upstream);
   begin_period(known, now);
   auto& reporters = known.reporters;
@@ -33,7 +33,7 @@
       reporters.end()) {
     reporters.push_back(reporter);
   }
-  return update(known, context, now);
+  return update(known, needs_reporter, now);
 }
 
 void stall_detector::begin_period(entry& known, time_point now) {
@@ -45,13 +45,10 @@
   }
 }
 
-bool stall_detector::update(entry& known, const stall_context& context,
-                            time_point now) {
-  const auto needed = context.is_gone ? 1 : stalls_of_unresponsive;
-  const bool is_confirmed =
-      !context.needs_reporter || context.is_gone || !known.reporters.empty();
+bool stall_detector::update(entry& known, bool needs_reporter, time_point now) {
+  const bool is_confirmed = !needs_reporter || !known.reporters.empty();
   if (known.stalled == 0 || !is_confirmed ||
-      known.stalled + known.reporters.size() < needed) {
+      known.stalled + known.reporters.size() < stalls_of_unresponsive) {
     return false;
   }
   const bool was_unresponsive = now < known.unresponsive_until;
--- a/src/store/stale_listing.cc
+++ b/src/store/stale_listing.cc
@@ -18,10 +18,10 @@
   items_.insert(items_.end(), page.items.begin(), page.items.end());
 }
 
-item_listing stale_listing::complete(const kv_watch_result& changes) && {
+item_listing stale_listing::complete(const kv_watch_result& changes) const {
   std::unordered_map<std::string, kv_item> latest;
-  for (auto& item : items_) {
-    latest[item.key] = std::move(item);
+  for (const auto& item : items_) {
+    latest.emplace(item.key, item);
   }
   for (const auto& change : changes.items) {
     auto& known = latest[change.key];
--- a/src/store/stale_listing.h
+++ b/src/store/stale_listing.h
@@ -18,7 +18,7 @@
   revision start() const { return start_.value_or(revision{}); }
   /// Applies the changes after `start()`. Items that were removed since are
   /// listed as such, with their last values.
-  item_listing complete(const kv_watch_result& changes) &&;
+  item_listing complete(const kv_watch_result& changes) const;
 
  private:
   std::vector<kv_item> items_;
--- a/src/store/store_follower.cc
+++ b/src/store/store_follower.cc
@@ -103,7 +103,8 @@
       return;
     }
     next_relist = runtime_clock::now() + settings.relist_interval;
-    finish(std::exchange(initial, {}).complete(changes));
+    const auto listing = std::exchange(initial, {}).complete(changes);
+    finish(listing);
   }
 
   void list_all(time_point now) {
