--- a/src/store/stale_listing.cc
+++ b/src/store/stale_listing.cc
@@ -27,7 +27,7 @@
     auto& known = latest[change.key];
     if (known.changed < change.changed) {
       // The value of a removed item is kept.
-      auto value = change.removed ? std::move(known.value) : change.value;
+      auto value = change.removed ? known.value : change.value;
       known = change;
       known.value = std::move(value);
     }
