--- a/src/store/store_follower.cc
+++ b/src/store/store_follower.cc
@@ -85,6 +85,13 @@
       list_stale_page(page.items.back().key);
       return;
     }
+    if (initial.start() == revision{}) {
+      // A page without items has no age, as when all processes start with an
+      // empty store.
+      may_list_stale = false;
+      list_all(runtime_clock::now());
+      return;
+    }
     as_of = runtime_clock::now();
     store.watch({}, initial.start(), check_wait,
                 [self = shared_from_this()](const kv_watch_result& changes) {
--- a/test/store_follower-test.cc
+++ b/test/store_follower-test.cc
@@ -164,6 +164,16 @@
   BOOST_CHECK_EQUAL(client.calls, 1);
 }
 
+// Guards against a wasted call when the stale list is empty.
+BOOST_FIXTURE_TEST_CASE(an_empty_stale_list_is_replaced_at_once, fixture) {
+  mode = follow_mode::idle;
+  store.stale_lag = seconds(1);
+  clock.run_for(milliseconds(200));
+  BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+  BOOST_CHECK_EQUAL(replica.find("a")->value, "1");
+  BOOST_CHECK_EQUAL(client.calls, 1);
+}
+
 // Guards against stale items that stay because the changes since have been
 // dropped.
 BOOST_FIXTURE_TEST_CASE(a_stale_list_without_history_is_not_used, fixture) {
