Read the store's era, and log restores, lists and outdated items

The platform's client reads Store-Era from all answers, 503 and 410 included (an odd or missing value counts as 0). New: events 205 store_restored and 206 store_listed, store_era and items_outdated in the metrics, 205 in what explain shows.

--- a/apps/command/explanation.cc
+++ b/apps/command/explanation.cc
@@ -18,7 +18,7 @@
     "upstream_silent",   "upstream_answers",     "upstream_ejected",
     "upstream_restored", "upstream_unresponsive"};
 /// Events of a process that explain its decisions.
-constexpr std::array<std::string_view, 17> process_events{
+constexpr std::array<std::string_view, 18> process_events{
     "process_started",
     "process_ready",
     "process_stalled",
@@ -28,6 +28,7 @@
     "settings_reloaded",
     "store_lost",
     "store_back",
+    "store_restored",
     "store_reading_started",
     "store_reading_stopped",
     "knowledge_stale",
--- a/apps/forwarder/control_loop.cc
+++ b/apps/forwarder/control_loop.cc
@@ -111,6 +111,7 @@
   }
   last_tick_ = now;
   agent_.tick(now);
+  journal_.on_era(store_.era(), now);
   journal_.on_state(agent_.is_fresh(now), agent_.is_reading(),
                     agent_.spread().rank(), now);
   journal_.on_readiness(is_ready(), unready_reason(), now);
@@ -205,6 +206,10 @@
   journal_.on_rejected(changed, now);
 }
 
+void control_loop::on_listed(const listing_effect& effect, time_point now) {
+  journal_.on_listed(effect, store_.era(), now);
+}
+
 void control_loop::on_member(const kv_item& item, time_point now) {
   journal_.on_member(item, now);
 }
@@ -255,6 +260,7 @@
           .count();
   now.members = agent_.spread().members().size();
   now.items = agent_.replica().size();
+  now.items_outdated = agent_.replica().outdated();
   now.log_lines_dropped =
       rings_.data_log.dropped() + rings_.control_log.dropped();
   return metrics_text(now, report_.metrics, store_);
--- a/apps/forwarder/control_loop.h
+++ b/apps/forwarder/control_loop.h
@@ -56,6 +56,7 @@
   void update(fleet_update update) override;
   void on_change(const fleet_change& change, time_point now) override;
   void on_rejected(revision changed, time_point now) override;
+  void on_listed(const listing_effect& effect, time_point now) override;
   void on_member(const kv_item& item, time_point now) override;
   void on_registered(bool written, time_point now) override;
   void on_store(error_kind error, time_point now) override;
--- a/apps/forwarder/forwarder_metrics.h
+++ b/apps/forwarder/forwarder_metrics.h
@@ -57,6 +57,8 @@
   double knowledge_age_seconds = 0;
   std::uint64_t members = 0;
   std::uint64_t items = 0;
+  /// Items that were ignored, because they differ from later ones.
+  std::uint64_t items_outdated = 0;
   std::uint64_t messages_sent = 0;
   std::uint64_t messages_received = 0;
   std::uint64_t messages_malformed = 0;
--- a/apps/forwarder/measured_store.cc
+++ b/apps/forwarder/measured_store.cc
@@ -10,6 +10,9 @@
   return [this, which, began = runtime_clock::now(),
           done = std::move(done)](const Result& result) {
     ++calls_[{which, result.error}];
+    if (result.era != store_era{}) {
+      era_ = result.era;
+    }
     if (which != kind::watch) {
       call_time_.add(runtime_clock::now() - began);
     }
@@ -64,6 +67,7 @@
     page.counter(name, "outcome", description_of(which.second).name, count);
   }
   page.histogram("store_call_seconds", call_time_);
+  page.gauge("store_era", static_cast<double>(value_of(era_)));
 }
 
 }  // namespace rosemarydrum
--- a/apps/forwarder/measured_store.h
+++ b/apps/forwarder/measured_store.h
@@ -30,6 +30,8 @@
   void end_lease(lease_id lease, callback<kv_lease_result> done) override;
 
   void append_to(metrics_page& page) const;
+  /// Era of the latest answer; 0 before the first one.
+  store_era era() const { return era_; }
 
  private:
   enum class kind : std::uint8_t {
@@ -52,6 +54,7 @@
 
   kv_store& inner_;
   std::map<std::pair<kind, error_kind>, std::uint64_t> calls_;
+  store_era era_{};
   /// Excludes watches, which wait for changes.
   duration_histogram call_time_;
 };
--- a/apps/forwarder/metrics_text.cc
+++ b/apps/forwarder/metrics_text.cc
@@ -14,6 +14,7 @@
   page.gauge("knowledge_age_seconds", control.knowledge_age_seconds);
   page.gauge("members", static_cast<double>(control.members));
   page.gauge("items", static_cast<double>(control.items));
+  page.counter("items_outdated", control.items_outdated);
   page.counter("peer_messages_sent", control.messages_sent);
   page.counter("peer_messages_received", control.messages_received);
   page.counter("peer_messages_malformed", control.messages_malformed);
--- a/apps/forwarder/state_journal.cc
+++ b/apps/forwarder/state_journal.cc
@@ -118,6 +118,28 @@
   });
 }
 
+void state_journal::on_era(store_era era, time_point now) {
+  const auto previous = std::exchange(era_, era);
+  if (previous == era || previous == store_era{}) {
+    return;
+  }
+  log_.log(event_id::store_restored, now, [&] {
+    return json::object{{"era", value_of(era)},
+                        {"previous_era", value_of(previous)},
+                        {"revision", value_of(replica_.at())}};
+  });
+}
+
+void state_journal::on_listed(const listing_effect& effect, store_era era,
+                              time_point now) {
+  log_.log(event_id::store_listed, now, [&] {
+    return json::object{
+        {"era", value_of(era)},        {"listed", value_of(effect.at)},
+        {"items", effect.items},       {"updated", effect.updated},
+        {"outdated", effect.outdated}, {"revision", value_of(replica_.at())}};
+  });
+}
+
 void state_journal::on_state(bool fresh, bool reading, std::size_t rank,
                              time_point now) {
   if (fresh != fresh_) {
--- a/apps/forwarder/state_journal.h
+++ b/apps/forwarder/state_journal.h
@@ -4,6 +4,7 @@
 
 #include "log/event_logger.h"
 #include "rosemarydrum/error_kind.h"
+#include "rosemarydrum/forwarding/fleet_agent.h"
 #include "rosemarydrum/forwarding/fleet_change.h"
 #include "rosemarydrum/spread/replica_spread.h"
 #include "rosemarydrum/store/item_replica.h"
@@ -24,6 +25,9 @@
 
   /// Called after each store call, whether it succeeded or failed.
   void on_store(error_kind error, time_point now);
+  /// Called with the era of the store's latest answer; logs only changes.
+  void on_era(store_era era, time_point now);
+  void on_listed(const listing_effect& effect, store_era era, time_point now);
   /// Called regularly; logs only changes since the last call.
   void on_state(bool fresh, bool reading, std::size_t rank, time_point now);
   void on_readiness(bool ready, std::string_view reason, time_point now);
@@ -38,6 +42,7 @@
   const item_replica& replica_;
   bool store_answers_ = true;
   time_point store_lost_at_;
+  store_era era_{};
   bool fresh_ = true;
   time_point stale_since_;
   bool reading_ = false;
--- a/apps/io/http_connection.cc
+++ b/apps/io/http_connection.cc
@@ -28,7 +28,7 @@
 void http_connection::call(http_call new_call, callback done) {
   if (calls_.size() >= max_queued_calls) {
     asio::post(io_, [done = std::move(done)] {
-      done({error_kind::store_unavailable, false, 0, {}});
+      done({error_kind::store_unavailable, false, 0, {}, {}});
     });
     return;
   }
@@ -155,9 +155,11 @@
                      if (!response.keep_alive()) {
                        self->disconnect();
                      }
-                     self->finish(call_number, {error_kind::none, true,
-                                                response.result_int(),
-                                                std::move(response.body())});
+                     const auto status = response.result_int();
+                     auto body = std::move(response.body());
+                     self->finish(call_number, {error_kind::none, true, status,
+                                                std::move(body),
+                                                std::move(response.base())});
                    });
 }
 
@@ -167,6 +169,7 @@
          {timed_out_ ? error_kind::timed_out : error_kind::store_unavailable,
           sent_,
           0,
+          {},
           {}});
 }
 
--- a/apps/io/http_connection.h
+++ b/apps/io/http_connection.h
@@ -32,6 +32,7 @@
   bool sent = false;
   unsigned status = 0;
   std::string body;
+  boost::beast::http::fields headers{};
 };
 
 /// An HTTP/1.1 client connection, opened on demand. Calls are queued and made
--- a/include/rosemarydrum/events/event_record.h
+++ b/include/rosemarydrum/events/event_record.h
@@ -23,6 +23,8 @@
   store_lost = 202,
   store_back = 203,
   document_rejected = 204,
+  store_restored = 205,
+  store_listed = 206,
   store_reading_started = 210,
   store_reading_stopped = 211,
   knowledge_stale = 212,
--- a/include/rosemarydrum/forwarding/fleet_agent.h
+++ b/include/rosemarydrum/forwarding/fleet_agent.h
@@ -18,6 +18,16 @@
 
 namespace rosemarydrum {
 
+/// The effect of a listing of all items.
+struct listing_effect {
+  revision at{};
+  std::size_t items = 0;
+  /// Items that were new to this process.
+  std::size_t updated = 0;
+  /// Items that differ from later ones that this process knows.
+  std::uint64_t outdated = 0;
+};
+
 /// Carries out the I/O of a fleet_agent and receives what it learns.
 class fleet_agent_host {
  public:
@@ -37,6 +47,9 @@
   virtual void on_change(const fleet_change& /*change*/, time_point /*now*/) {}
   /// The configuration of this revision cannot be decoded.
   virtual void on_rejected(revision /*changed*/, time_point /*now*/) {}
+  /// All items of the store were read.
+  virtual void on_listed(const listing_effect& /*effect*/, time_point /*now*/) {
+  }
   virtual void on_member(const kv_item& /*item*/, time_point /*now*/) {}
   virtual void on_registered(bool /*written*/, time_point /*now*/) {}
   /// A call to the store has succeeded (`error_kind::none`) or failed.
--- a/include/rosemarydrum/store/item_replica.h
+++ b/include/rosemarydrum/store/item_replica.h
@@ -58,6 +58,9 @@
   /// Drops items whose removal is older than the retention.
   void tick(time_point now);
   std::size_t size() const { return items_.size(); }
+  /// Number of items that were ignored since the start, because they are older
+  /// than the known ones and differ from them.
+  std::uint64_t outdated() const { return outdated_; }
 
  private:
   struct entry {
@@ -80,6 +83,7 @@
   revision history_start_{};
   time_point confirmed_at_;
   std::map<std::string, entry> items_;
+  std::uint64_t outdated_ = 0;
 };
 
 }  // namespace rosemarydrum
--- a/include/rosemarydrum/store/kv_store.h
+++ b/include/rosemarydrum/store/kv_store.h
@@ -36,6 +36,8 @@
   revision at{};
   /// More items follow the last key.
   bool more = false;
+  /// Era of the store when it answered; 0 if there was no answer.
+  store_era era{};
 };
 
 /// Result of a watch. `error` may also be history_lost: the store has dropped
@@ -45,12 +47,16 @@
   std::vector<kv_item> items;
   /// The revision after which the next watch continues.
   revision at{};
+  /// Era of the store when it answered; 0 if there was no answer.
+  store_era era{};
 };
 
 struct kv_lease_result {
   error_kind error = error_kind::none;
   lease_id id{};
   milliseconds time_to_live{0};
+  /// Era of the store when it answered; 0 if there was no answer.
+  store_era era{};
 };
 
 struct kv_precondition {
@@ -79,6 +85,8 @@
   /// Whether a failed write may have taken effect, or still may.
   certainty outcome = certainty::not_applicable;
   revision changed{};
+  /// Era of the store when it answered; 0 if there was no answer.
+  store_era era{};
 };
 
 enum class read_freshness : std::uint8_t {
--- a/include/rosemarydrum/types.h
+++ b/include/rosemarydrum/types.h
@@ -28,6 +28,8 @@
 enum class grant_id : std::uint64_t {};
 /// A revision of the configuration store; increases monotonically.
 enum class revision : std::uint64_t {};
+/// Rises each time that the store is restored from a copy; 0: not stated.
+enum class store_era : std::uint64_t {};
 
 /// Shards in a cell (the balancers of one data centre).
 inline constexpr std::uint16_t shard_count = 16;
--- a/src/events/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -60,6 +60,16 @@
      "of stored documents; the previous version stays in effect. Detail is the "
      "error's number.",
      "configuration detail revision"},
+    {store_restored, "store_restored", warning,
+     "The store answers in a later era: it was restored from a copy, may have "
+     "lost what it had acknowledged, and gives out revisions again. "
+     "`revision` is what this process knew before.",
+     "era previous_era revision"},
+    {store_listed, "store_listed", info,
+     "All items of the store were read at the revision `listed`. `updated` "
+     "counts those that were new to this process, `outdated` those whose "
+     "value differs from a later one that it knows.",
+     "era listed items updated outdated revision"},
     {store_reading_started, "store_reading_started", info,
      "This process reads the store for its data centre. `rank` counts the "
      "members that come before it.",
--- a/src/forwarding/fleet_agent.cc
+++ b/src/forwarding/fleet_agent.cc
@@ -146,8 +146,14 @@
 void fleet_agent::on_listing(const item_listing& items, time_point asked) {
   const auto now = runtime_clock::now();
   host_.on_store(error_kind::none, now);
+  const auto outdated_before = replica_.outdated();
   spread_output out;
   spread_.on_store_answer(items, asked, now, out);
+  if (items.complete) {
+    host_.on_listed({items.at, items.items.size(), out.updated_items.size(),
+                     replica_.outdated() - outdated_before},
+                    now);
+  }
   carry_out(out);
 }
 
--- a/src/store/item_replica.cc
+++ b/src/store/item_replica.cc
@@ -44,6 +44,9 @@
     return known.item.removed;
   }
   if (item.changed <= known.item.changed) {
+    const bool is_same = item.removed == known.item.removed &&
+                         (item.removed || item.value == known.item.value);
+    outdated_ += is_same ? 0 : 1;
     return false;
   }
   if (item.removed) {
--- a/test/journal-test.cc
+++ b/test/journal-test.cc
@@ -169,6 +169,16 @@
        f.taken();
        f.states.on_store(error_kind::none, now());
      }},
+    {event_id::store_restored,
+     [](fixture& f) {
+       f.states.on_era(store_era(3), now());
+       f.states.on_era(store_era(4), now());
+       f.states.on_era(store_era(4), now());
+     }},
+    {event_id::store_listed,
+     [](fixture& f) {
+       f.states.on_listed({revision(7), 30, 1, 2}, store_era(3), now());
+     }},
     {event_id::knowledge_stale,
      [](fixture& f) { f.states.on_state(false, false, 0, now()); }},
     {event_id::knowledge_fresh,
@@ -241,9 +251,9 @@
   for (const auto& row : event_catalogue()) {
     const auto number = static_cast<unsigned>(row.id);
     const bool is_forwarders =
-        (number >= 104 && number <= 108) || (number >= 210 && number <= 214) ||
-        (number >= 320 && number <= 322) || (number >= 410 && number <= 416) ||
-        number >= 700;
+        (number >= 104 && number <= 108) || (number >= 205 && number <= 206) ||
+        (number >= 210 && number <= 214) || (number >= 320 && number <= 322) ||
+        (number >= 410 && number <= 416) || number >= 700;
     BOOST_CHECK_MESSAGE(!is_forwarders || logged.contains(row.id), row.name);
   }
 }
--- a/test/store_client-test.cc
+++ b/test/store_client-test.cc
@@ -28,6 +28,8 @@
     bool cut = false;
     /// Sends the answer a second time.
     bool twice = false;
+    /// Value of the header Store-Era; none if empty.
+    std::string era{};
   };
 
   explicit canned_server(std::deque<response> responses)
@@ -65,6 +67,9 @@
         http::response<http::string_body> answer(
             static_cast<http::status>(next.status), 11);
         answer.body() = next.body;
+        if (!next.era.empty()) {
+          answer.set("Store-Era", next.era);
+        }
         answer.prepare_payload();
         http::write(socket, answer, error);
         if (next.twice) {
@@ -121,6 +126,41 @@
   BOOST_CHECK(read.more);
 }
 
+// Guards against a restored store that goes unnoticed, because an answer's era
+// is not read, also from an answer that refuses the call.
+BOOST_FIXTURE_TEST_CASE(eras_are_read_from_all_answers, fixture) {
+  const auto answered = [](unsigned status, const char* body) {
+    return canned_server::response{status, body, false, false, "3"};
+  };
+  const auto watch = [](auto& client, auto done) {
+    client.watch("", revision(41), milliseconds(1), done);
+  };
+  const auto read = ask<kv_read_result>(
+      answered(200, R"({"items":[],"CurrentRev":7})"),
+      [](auto& client, auto done) {
+        client.list("", "", read_freshness::linearizable, done);
+      });
+  BOOST_CHECK(read.era == store_era(3));
+  BOOST_CHECK(ask<kv_watch_result>(answered(410, "{}"), watch).era ==
+              store_era(3));
+  BOOST_CHECK(ask<kv_watch_result>(answered(503, ""), watch).era ==
+              store_era(3));
+  const auto kept = ask<kv_lease_result>(
+      answered(404, "{}"),
+      [](auto& client, auto done) { client.keep_lease(lease_id(1), done); });
+  BOOST_CHECK(kept.era == store_era(3));
+  const auto written = ask<kv_write_result>(
+      answered(200, R"({"Rev":8})"),
+      [](auto& client, auto done) { client.write({}, done); });
+  BOOST_CHECK(written.era == store_era(3));
+  for (const auto* odd : {"", "x", "-1", "99999999999999999999"}) {
+    const auto result = ask<kv_watch_result>(
+        {200, R"({"events":[],"CurrentRev":7})", false, false, odd}, watch);
+    BOOST_CHECK(result.error == error_kind::none);
+    BOOST_CHECK(result.era == store_era{});
+  }
+}
+
 // Guards against a missing item that is reported as an empty one.
 BOOST_FIXTURE_TEST_CASE(single_items_are_read, fixture) {
   const auto call = [](auto& client, auto done) {
