--- a/test/fleet/fake_kv_store.h
+++ b/test/fleet/fake_kv_store.h
@@ -1,8 +1,10 @@
 #pragma once
 
-#include <deque>
+#include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,7 +14,8 @@
 namespace rosemarydrum {
 
 /// Simulates the platform's store: one revision counter, watches that end with
-/// the first change, a history that can be dropped, and leases.
+/// the first change, a history that can be dropped, leases, and a restore from
+/// a copy that loses what was acknowledged since.
 class fake_kv_store {
  public:
   struct change {
@@ -27,7 +30,9 @@
 
   using time_source = std::function<time_point()>;
 
-  explicit fake_kv_store(time_source now) : now_(std::move(now)) {}
+  explicit fake_kv_store(time_source now) : now_(std::move(now)) {
+    lives_.push_back({store_era(1), now_(), {}});
+  }
   explicit fake_kv_store(scheduler& time)
       : fake_kv_store([&time] { return time.now(); }) {}
 
@@ -42,9 +47,11 @@
   /// Returns the items of `lag` ago under `prefix` whose keys follow `after`.
   kv_read_result list(const std::string& prefix, const std::string& after,
                       duration lag) const {
+    const auto& shown = life_at(now_() - lag);
     std::map<std::string, kv_item> items;
     kv_read_result read;
-    for (const auto& each : history_) {
+    read.era = shown.era;
+    for (const auto& each : shown.history) {
       if (each.at + lag > now_()) {
         break;
       }
@@ -66,15 +73,21 @@
     }
     return read;
   }
+  /// Returns the present value of an item; empty if there is none.
+  std::string value_at(const std::string& key) const {
+    const auto read = list(key, {}, duration(0));
+    const bool found = !read.items.empty() && read.items[0].key == key;
+    return found ? read.items[0].value : std::string();
+  }
 
   kv_watch_result events_after(const std::string& prefix,
                                revision after) const {
-    kv_watch_result events{error_kind::none, {}, at_};
-    if (after < history_start_) {
+    kv_watch_result events{error_kind::none, {}, at_, era()};
+    if (after < history_start_ || after > at_) {
       events.error = error_kind::history_lost;
       return events;
     }
-    for (const auto& each : history_) {
+    for (const auto& each : lives_.back().history) {
       if (each.item.changed > after && each.item.key.starts_with(prefix)) {
         events.items.push_back(each.item);
       }
@@ -86,22 +99,52 @@
   /// history_lost.
   void drop_history() {
     history_start_ = at_;
-    for (const auto& watch : std::exchange(watches_, {})) {
-      watch.answer({error_kind::store_unavailable, {}, {}});
-    }
+    cut_watches();
   }
   void add_watch(waiting_watch watch) { watches_.push_back(std::move(watch)); }
 
-  lease_id grant() { return lease_id(++last_lease_); }
-  bool has_lease(lease_id lease) const {
-    return value_of(lease) <= last_lease_ && !ended_.contains(value_of(lease));
+  /// Replaces all items and leases by those of `age` ago. Revisions and lease
+  /// ids that were given out since are given out again.
+  void restore(duration age) {
+    const auto copied_at = now_() - age;
+    life next{store_era(value_of(era()) + 1), now_(), {}};
+    for (const auto& each : lives_.back().history) {
+      if (each.at <= copied_at) {
+        next.history.push_back(each);
+      }
+    }
+    at_ = next.history.empty() ? first_revision
+                               : next.history.back().item.changed;
+    lives_.push_back(std::move(next));
+    std::erase_if(leases_, [&](const granted_lease& each) {
+      return each.granted_at > copied_at;
+    });
+    for (auto& each : leases_) {
+      if (each.ended_at && *each.ended_at > copied_at) {
+        each.ended_at.reset();
+      }
+    }
+    cut_watches();
+  }
+
+  lease_id grant() {
+    leases_.push_back({now_(), std::nullopt});
+    return lease_id(leases_.size());
+  }
+  bool has_lease(lease_id id) const {
+    const auto number = value_of(id);
+    return number > 0 && number <= leases_.size() &&
+           !leases_[number - 1].ended_at;
   }
   /// Ends a lease and removes its keys.
-  void end(lease_id lease) {
-    ended_[value_of(lease)] = true;
+  void end(lease_id id) {
+    if (!has_lease(id)) {
+      return;
+    }
+    leases_[value_of(id) - 1].ended_at = now_();
     std::vector<std::string> keys;
     for (const auto& item : list({}, {}, duration(0)).items) {
-      if (item.lease == lease && lease != lease_id{}) {
+      if (item.lease == id) {
         keys.push_back(item.key);
       }
     }
@@ -111,6 +154,7 @@
   }
 
   revision at() const { return at_; }
+  store_era era() const { return lives_.back().era; }
 
   /// Age of stale reads.
   duration stale_lag{0};
@@ -119,10 +163,36 @@
   std::size_t page_size = 500;
 
  private:
+  static constexpr revision first_revision{1};
+
+  /// The time from the start or a restore to the next restore.
+  struct life {
+    store_era era{};
+    time_point began;
+    std::vector<change> history;
+  };
+  struct granted_lease {
+    time_point granted_at;
+    std::optional<time_point> ended_at;
+  };
+
+  const life& life_at(time_point when) const {
+    const auto next =
+        std::find_if(lives_.begin() + 1, lives_.end(),
+                     [&](const life& each) { return each.began > when; });
+    return *std::prev(next);
+  }
+
+  void cut_watches() {
+    for (const auto& watch : std::exchange(watches_, {})) {
+      watch.answer({error_kind::store_unavailable, {}, {}, {}});
+    }
+  }
+
   revision apply(kv_item item) {
     at_ = revision(value_of(at_) + 1);
     item.changed = at_;
-    history_.push_back({item, now_()});
+    lives_.back().history.push_back({item, now_()});
     if (!suppress_watches) {
       auto waiting = std::exchange(watches_, {});
       for (auto& watch : waiting) {
@@ -137,12 +207,12 @@
   }
 
   time_source now_;
-  revision at_{1};
+  revision at_ = first_revision;
   revision history_start_{};
-  std::vector<change> history_;
+  /// The last one is the present life.
+  std::vector<life> lives_;
   std::vector<waiting_watch> watches_;
-  std::uint64_t last_lease_ = 0;
-  std::map<std::uint64_t, bool> ended_;
+  std::vector<granted_lease> leases_;
 };
 
 /// A simulated fault of one client's store calls.
@@ -205,7 +275,7 @@
       }
       store_.add_watch({prefix, after, answer});
       time_.after(wait, [this, prefix, answer] {
-        answer({error_kind::none, {}, store_.at()});
+        answer({error_kind::none, {}, store_.at(), store_.era()});
       });
     });
   }
@@ -215,9 +285,11 @@
     ++calls;
     call<kv_write_result>(std::move(done), [this, transaction] {
       kv_write_result written;
+      written.era = store_.era();
       for (const auto& each : transaction.puts) {
         if (each.lease != lease_id{} && !store_.has_lease(each.lease)) {
-          return kv_write_result{error_kind::not_found, certainty::not_run, {}};
+          return kv_write_result{
+              error_kind::not_found, certainty::not_run, {}, store_.era()};
         }
       }
       for (const auto& each : transaction.puts) {
@@ -234,7 +306,8 @@
                    callback<kv_lease_result> done) override {
     ++calls;
     call<kv_lease_result>(std::move(done), [this, time_to_live] {
-      return kv_lease_result{error_kind::none, store_.grant(), time_to_live};
+      return kv_lease_result{error_kind::none, store_.grant(), time_to_live,
+                             store_.era()};
     });
   }
 
@@ -243,7 +316,7 @@
     call<kv_lease_result>(std::move(done), [this, lease] {
       return kv_lease_result{
           store_.has_lease(lease) ? error_kind::none : error_kind::not_found,
-          lease, milliseconds(0)};
+          lease, milliseconds(0), store_.era()};
     });
   }
 
@@ -251,7 +324,8 @@
     ++calls;
     call<kv_lease_result>(std::move(done), [this, lease] {
       store_.end(lease);
-      return kv_lease_result{error_kind::none, lease, milliseconds(0)};
+      return kv_lease_result{error_kind::none, lease, milliseconds(0),
+                             store_.era()};
     });
   }
 
--- a/test/fleet/fake_upstream.h
+++ b/test/fleet/fake_upstream.h
@@ -108,6 +108,8 @@
   std::uint64_t key;
   platform_texts::entry entry;
   bool alive = true;
+  /// Whether it keeps an entry in the store.
+  bool listed = true;
   /// While set, answers each request with an error, at once.
   bool fails = false;
   duration processing_time = milliseconds(50);
--- a/test/fleet/platform_texts.h
+++ b/test/fleet/platform_texts.h
@@ -28,6 +28,7 @@
   std::string state = "ready";
   int cold_ms = 0;
   std::int64_t born = 1'700'000'000'000;
+  std::int64_t seq = 1;
 };
 
 inline std::string text(const entry& from) {
@@ -39,7 +40,7 @@
                           {"Concurrency", from.slots},
                           {"State", from.state},
                           {"WarmupLeftMs", from.cold_ms},
-                          {"Seq", 1},
+                          {"Seq", from.seq},
                           {"born", from.born}});
 }
 
--- a/test/fleet/simulated_fleet.cc
+++ b/test/fleet/simulated_fleet.cc
@@ -164,16 +164,60 @@
 }
 
 void simulated_fleet::write_entry(const std::string& hex_id) {
-  const auto& upstream = *upstreams.at(hex_id);
+  auto& upstream = *upstreams.at(hex_id);
+  ++upstream.entry.seq;
   store.put(platform_texts::upstream_key_of(upstream.id),
             platform_texts::text(upstream.entry));
 }
 
+void simulated_fleet::remove_entry(const std::string& hex_id) {
+  auto& upstream = *upstreams.at(hex_id);
+  upstream.listed = false;
+  store.remove(platform_texts::upstream_key_of(upstream.id));
+}
+
 void simulated_fleet::configure(
     std::int64_t version,
     const std::vector<platform_texts::route_text>& routes) {
-  store.put(platform_texts::configuration_key,
-            platform_texts::configuration(version, routes));
+  configuration_ = platform_texts::configuration(version, routes);
+  store.put(platform_texts::configuration_key, configuration_);
+}
+
+void simulated_fleet::restore_store(duration copy_age, duration away,
+                                    duration rewritten_after) {
+  for (auto& [name, node] : nodes) {
+    node->client.fault = store_fault::refuses;
+  }
+  clock.after(away, [this, copy_age, away] {
+    store.restore(copy_age + away);
+    for (auto& [name, node] : nodes) {
+      node->client.fault = store_fault::none;
+    }
+  });
+  clock.after(away + rewritten_after, [this] { write_lost_items(); });
+}
+
+void simulated_fleet::write_lost_items() {
+  if (store.value_at(platform_texts::configuration_key) != configuration_) {
+    store.put(platform_texts::configuration_key, configuration_);
+  }
+  for (const auto& data_centre : data_centres_) {
+    const auto key = platform_texts::evacuation_key(data_centre);
+    const bool is_stored = !store.value_at(key).empty();
+    if (is_stored != evacuated_.contains(data_centre)) {
+      is_stored ? end_evacuation(data_centre) : evacuate(data_centre);
+    }
+  }
+  for (const auto& [hex_id, upstream] : upstreams) {
+    const auto stored =
+        store.value_at(platform_texts::upstream_key_of(upstream->id));
+    if (!upstream->listed && !stored.empty()) {
+      remove_entry(hex_id);
+    } else if (upstream->listed && upstream->alive &&
+               stored != platform_texts::text(upstream->entry)) {
+      write_entry(hex_id);
+    }
+  }
 }
 
 void simulated_fleet::cut(const std::string& data_centre) {
--- a/test/fleet/simulated_fleet.h
+++ b/test/fleet/simulated_fleet.h
@@ -43,16 +43,26 @@
   fake_upstream& add_upstream(const std::string& hex_id,
                               platform_texts::entry entry = {});
   void write_entry(const std::string& hex_id);
+  /// Removes the entry of an upstream that has left.
+  void remove_entry(const std::string& hex_id);
 
   void configure(std::int64_t version,
                  const std::vector<platform_texts::route_text>& routes = {{}});
   void evacuate(const std::string& data_centre) {
+    evacuated_.insert(data_centre);
     store.put(platform_texts::evacuation_key(data_centre), "{}");
   }
   void end_evacuation(const std::string& data_centre) {
+    evacuated_.erase(data_centre);
     store.remove(platform_texts::evacuation_key(data_centre));
   }
 
+  /// Makes the store unavailable for `away`, then restores it from a copy that
+  /// was taken `copy_age` before now. Operators and upstreams write what was
+  /// lost again `rewritten_after` its return.
+  void restore_store(duration copy_age, duration away,
+                     duration rewritten_after);
+
   /// Cuts `data_centre` off from the other data centres and from the store.
   void cut(const std::string& data_centre);
   void heal(const std::string& data_centre);
@@ -93,6 +103,7 @@
   void send(const test_node& from, const spread_datagram& datagram);
   void fetch(test_node& requester, const fetch_request& request);
   void run_health_checks();
+  void write_lost_items();
 
   /// Addresses of the members that new processes ask first.
   std::vector<endpoint> seeds_;
@@ -100,6 +111,9 @@
   std::vector<std::unique_ptr<test_node>> replaced_nodes_;
   std::set<std::pair<std::string, std::string>> cuts_;
   std::uint8_t next_node_ = 1;
+  /// What operators have written last.
+  std::string configuration_;
+  std::set<std::string> evacuated_;
 };
 
 }  // namespace rosemarydrum
--- a/test/measured_store-test.cc
+++ b/test/measured_store-test.cc
@@ -48,7 +48,7 @@
       text,
       R"(rosemarydrum_store_calls_watch_total{outcome="store_unavailable"} 1)"));
   BOOST_CHECK(has_line(text, "rosemarydrum_store_call_seconds_count 8"));
-  BOOST_CHECK(has_line(text, "rosemarydrum_store_era 0"));
+  BOOST_CHECK(has_line(text, "rosemarydrum_store_era 1"));
 }
 
 // Guards against a metrics page that a scraper cannot parse.
--- a/test/soak/kv_server.cc
+++ b/test/soak/kv_server.cc
@@ -205,14 +205,15 @@
       return;
     }
     store_.add_watch({prefix, after, reply});
-    time_.after(milliseconds(wanted.number("WaitMs")), [after, reply] {
-      reply({error_kind::none, {}, after});
+    time_.after(milliseconds(wanted.number("WaitMs")), [this, reply] {
+      reply({error_kind::none, {}, store_.at(), store_.era()});
     });
   }
 
   void write(const answer& given) {
     response_ = {static_cast<http::status>(given.status), 11};
     response_.set(http::field::content_type, "application/json");
+    response_.set("Store-Era", std::to_string(value_of(store_.era())));
     response_.body() = json::serialize(given.body);
     response_.prepare_payload();
     http::async_write(stream_, response_,
