Make a revision name the era of the store

A revision was a bare number, and numbers are given out again after a restore. It is a pair of era and number now, ordered by the era first, so that no part can compare numbers of two eras by mistake. No behaviour changes yet: all revisions are still made without an era. std::atomic does not take the pair; latest_value hands the applied revision to the store thread.

--- a/apps/command/approval_command.cc
+++ b/apps/command/approval_command.cc
@@ -72,7 +72,7 @@
   BOOST_LEAF_AUTO(changed,
                   write_service(context, granted, target.changed, "grant"));
   report answer;
-  answer.notes = {"revision " + std::to_string(value_of(changed)) + ": team " +
+  answer.notes = {"revision " + std::to_string(changed.number) + ": team " +
                   pending.value.team + " is approved for service " +
                   target.value.name};
   // The grant stands even if the request cannot be removed; granting it again
@@ -101,7 +101,7 @@
   BOOST_LEAF_AUTO(changed,
                   write_service(context, revoked, target.changed, "revoke"));
   report answer;
-  answer.notes = {"revision " + std::to_string(value_of(changed)) + ": team " +
+  answer.notes = {"revision " + std::to_string(changed.number) + ": team " +
                   given.words[1] + " is no longer approved for service " +
                   target.value.name};
   return answer;
--- a/apps/command/config_command.cc
+++ b/apps/command/config_command.cc
@@ -83,7 +83,7 @@
   BOOST_LEAF_AUTO(documents, context.store.list(""));
   for (const auto& each : documents) {
     answer.rows.push_back({boost::json::value(each.key),
-                           boost::json::value(value_of(each.changed)),
+                           boost::json::value(each.changed.number),
                            boost::json::value(each.text.size())});
   }
   return answer;
@@ -118,7 +118,7 @@
     row[3] = id;
   }
   answer.notes = {"the newest first, at most 16; revision " +
-                  std::to_string(value_of(found.changed))};
+                  std::to_string(found.changed.number)};
   return answer;
 }
 
--- a/apps/command/data_centre_command.cc
+++ b/apps/command/data_centre_command.cc
@@ -58,7 +58,7 @@
   BOOST_LEAF_AUTO(changed,
                   write_data_centre(context, value, expected, "create"));
   report answer;
-  answer.notes = {"revision " + std::to_string(value_of(changed)) +
+  answer.notes = {"revision " + std::to_string(changed.number) +
                   ": data centre " + name + " is created"};
   return answer;
 }
@@ -75,7 +75,7 @@
     value.state = service_state::in;
     BOOST_LEAF_AUTO(changed,
                     write_data_centre(context, value, target.changed, "in"));
-    answer.notes = {"revision " + std::to_string(value_of(changed)) +
+    answer.notes = {"revision " + std::to_string(changed.number) +
                     ": data centre " + name +
                     " is in; its upstreams start with one request each"};
     BOOST_LEAF_CHECK(add_wait_notes(context, given, changed, answer));
--- a/apps/command/data_centre_out_command.cc
+++ b/apps/command/data_centre_out_command.cc
@@ -148,7 +148,7 @@
                            boost::json::value(each.lost_slots),
                            boost::json::value(each.remaining_slots)});
   }
-  answer.notes.push_back("revision " + std::to_string(value_of(*written)) +
+  answer.notes.push_back("revision " + std::to_string(written->number) +
                          ": data centre " + name + " is out");
   if (given.flags.count("wait") > 0) {
     BOOST_LEAF_AUTO(
--- a/apps/command/events_command.cc
+++ b/apps/command/events_command.cc
@@ -86,7 +86,7 @@
           number_or_null(value_of(event.request)),
           number_or_null(value_of(event.upstream)),
           number_or_null(value_of(event.data_centre)),
-          number_or_null(value_of(event.configuration)),
+          number_or_null(event.configuration.number),
           boost::json::value(event.detail),
           number_or_null(event.suppressed)};
 }
--- a/apps/command/questionnaire_command.cc
+++ b/apps/command/questionnaire_command.cc
@@ -56,7 +56,7 @@
   pending.value = std::move(answers);
   BOOST_LEAF_AUTO(changed, write_questionnaire(context, pending, "submit"));
   report answer;
-  answer.notes = {"revision " + std::to_string(value_of(changed)) +
+  answer.notes = {"revision " + std::to_string(changed.number) +
                   ": pending until " + target.value.owner +
                   ", the owner of service " + target.value.name +
                   ", runs `rosemarydrum approval grant " + target.value.name +
--- a/apps/command/service_command.cc
+++ b/apps/command/service_command.cc
@@ -44,8 +44,8 @@
                   revision_for_create(context.store, service_key(name)));
   BOOST_LEAF_AUTO(changed, write_service(context, value, expected, "create"));
   report answer;
-  answer.notes = {"revision " + std::to_string(value_of(changed)) +
-                  ": service " + name + " is created"};
+  answer.notes = {"revision " + std::to_string(changed.number) + ": service " +
+                  name + " is created"};
   return answer;
 }
 
@@ -78,7 +78,7 @@
                            boost::json::value(each.value.approvals.size()),
                            boost::json::value(each.value.upstreams.size()),
                            boost::json::value(slots), boost::json::value(out),
-                           boost::json::value(value_of(each.changed))});
+                           boost::json::value(each.changed.number)});
   }
   return answer;
 }
--- a/apps/command/status_command.cc
+++ b/apps/command/status_command.cc
@@ -30,7 +30,7 @@
       if (each.value) {
         const auto& state = each.value->state;
         row.emplace_back(readiness_text(state));
-        row.emplace_back(value_of(state.configuration));
+        row.emplace_back(state.configuration.number);
         row.emplace_back(state.flows);
         row.emplace_back(state.unfinished_requests);
         row.emplace_back(state.decided.size());
--- a/apps/command/upstream_command.cc
+++ b/apps/command/upstream_command.cc
@@ -32,8 +32,7 @@
   found->state = state;
   BOOST_LEAF_AUTO(revised, write_service(context, changed, target.changed,
                                          "upstream-" + word));
-  answer.notes = {"revision " + std::to_string(value_of(revised)) + ": " +
-                  name +
+  answer.notes = {"revision " + std::to_string(revised.number) + ": " + name +
                   (state == service_state::out
                        ? " gets no new work and finishes what runs"
                        : " gets work again, at first one request at a "
--- a/apps/command/wait_for_revision.cc
+++ b/apps/command/wait_for_revision.cc
@@ -46,12 +46,12 @@
         behind += behind.empty() ? "" : ", ";
         behind += name;
         behind += " at revision ";
-        behind += std::to_string(value_of(answer.value->state.configuration));
+        behind += std::to_string(answer.value->state.configuration.number);
       } else {
         ++reported;
       }
     }
-    const auto text = std::to_string(value_of(wanted));
+    const auto text = std::to_string(wanted.number);
     if (behind.empty()) {
       std::string summary = "revision " + text;
       summary += " is in effect at ";
--- a/apps/daemon/data_output.cc
+++ b/apps/daemon/data_output.cc
@@ -90,7 +90,7 @@
   const auto status = core_.status(runtime_clock::now());
   metrics_.ready = status.ready;
   metrics_.leaving = status.leaving;
-  metrics_.configuration = value_of(status.configuration);
+  metrics_.configuration = status.configuration.number;
   metrics_.unfinished_requests = status.unfinished_requests;
   metrics_.flows = status.flows;
   metrics_.live_peers = status.live.size();
--- a/apps/daemon/event_line.cc
+++ b/apps/daemon/event_line.cc
@@ -34,7 +34,7 @@
   put_nonzero(out, "request", value_of(event.request));
   put_nonzero(out, "upstream", value_of(event.upstream));
   put_nonzero(out, "data_centre", value_of(event.data_centre));
-  put_nonzero(out, "configuration", value_of(event.configuration));
+  put_nonzero(out, "configuration", event.configuration.number);
   put_nonzero(out, "detail", event.detail);
   put_nonzero(out, "suppressed", event.suppressed);
   return out.str();
--- a/apps/daemon/http_config_store.cc
+++ b/apps/daemon/http_config_store.cc
@@ -108,7 +108,7 @@
 void http_config_store::compare_and_swap(const store_write& write,
                                          callback<store_write_result> done) {
   const auto target = "/v1/keys/" + store_json::escape(write.key) +
-                      "?expected=" + std::to_string(value_of(write.expected)) +
+                      "?expected=" + std::to_string(write.expected.number) +
                       "&operation=" + store_json::escape(write.operation);
   auto body = boost::json::serialize(boost::json::object{{"text", write.text}});
   calls_->call({http::verb::put, target, std::move(body), call_deadline},
--- a/apps/daemon/peer_service.cc
+++ b/apps/daemon/peer_service.cc
@@ -69,7 +69,7 @@
     out.setDataCentre(value_of(reply.data_centre));
     out.setReady(reply.status.ready);
     out.setLeaving(reply.status.leaving);
-    out.setConfiguration(value_of(reply.status.configuration));
+    out.setConfiguration(reply.status.configuration.number);
     out.setUnfinishedRequests(reply.status.unfinished_requests);
     out.setFlows(reply.status.flows);
     auto decided = out.initDecided(reply.status.decided.size());
--- a/apps/daemon/store_answer.cc
+++ b/apps/daemon/store_answer.cc
@@ -20,7 +20,7 @@
 std::string range_target(std::string_view path, const std::string& prefix,
                          revision after) {
   return std::string(path) + "?prefix=" + store_json::escape(prefix) +
-         "&after=" + std::to_string(value_of(after));
+         "&after=" + std::to_string(after.number);
 }
 
 error_kind error_of(const http_answer& answer) {
--- a/apps/daemon/store_json.cc
+++ b/apps/daemon/store_json.cc
@@ -93,7 +93,7 @@
 json::value write(const document& item) {
   return {{"key", item.key},
           {"text", item.text},
-          {"revision", value_of(item.changed)}};
+          {"revision", item.changed.number}};
 }
 
 std::string write(const page& listed) {
@@ -102,7 +102,7 @@
   for (const auto& item : listed.documents) {
     documents.push_back(write(item));
   }
-  return json::serialize(json::object{{"revision", value_of(listed.last)},
+  return json::serialize(json::object{{"revision", listed.last.number},
                                       {"more", listed.more},
                                       {"documents", std::move(documents)}});
 }
--- a/apps/daemon/store_thread.cc
+++ b/apps/daemon/store_thread.cc
@@ -22,7 +22,7 @@
   if (rings_.reads_store && !watch_) {
     // Starts at the revision that peers have already sent, so that a balancer
     // that becomes a reader does not read the whole configuration again.
-    begin_watch(rings_.applied);
+    begin_watch(rings_.applied.get());
   }
   timer_.expires_after(check_interval);
   timer_.async_wait([this](const boost::system::error_code& error) {
--- a/apps/daemon/thread_rings.h
+++ b/apps/daemon/thread_rings.h
@@ -7,6 +7,7 @@
 
 #include "daemon/metrics_snapshot.h"
 #include "io/bounded_ring.h"
+#include "io/latest_value.h"
 #include "rosemarydrum/balancer/balancer.h"
 #include "rosemarydrum/balancer/peer_message.h"
 
@@ -73,7 +74,7 @@
   /// Set by the data thread: whether this balancer is to read the store.
   std::atomic<bool> reads_store{true};
   /// Set by the data thread: the revision up to which it has the configuration.
-  std::atomic<revision> applied{};
+  latest_value<revision> applied;
 };
 
 }  // namespace rosemarydrum
--- a/apps/forwarder/control_loop.cc
+++ b/apps/forwarder/control_loop.cc
@@ -172,7 +172,7 @@
   auto target =
       request.kind == fetch_kind::removed
           ? std::string(removed_target)
-          : std::string(items_target) + std::to_string(value_of(request.after));
+          : std::string(items_target) + std::to_string(request.after.number);
   fetching_ = std::make_shared<http_connection>(context_, to_tcp(request.from));
   fetching_->call({http::verb::get, std::move(target), {}, fetch_deadline},
                   [this](const http_answer& answer) { on_fetched(answer); });
@@ -253,7 +253,7 @@
   now.ready = is_ready();
   now.reading = agent_.is_reading();
   now.configuration = agent_.configuration_version();
-  now.revision = value_of(agent_.replica().at());
+  now.revision = agent_.replica().at().number;
   now.knowledge_age_seconds =
       std::chrono::duration<double>(runtime_clock::now() -
                                     agent_.replica().confirmed_at())
--- a/apps/forwarder/flow_journal.cc
+++ b/apps/forwarder/flow_journal.cc
@@ -30,7 +30,7 @@
 json::object flow_journal::with_known_state(json::object fields,
                                             time_point now) const {
   fields["configuration"] = known_state_.configuration;
-  fields["revision"] = value_of(known_state_.known_revision);
+  fields["revision"] = known_state_.known_revision.number;
   fields["age_ms"] = whole_ms(now - known_state_.confirmed_at);
   return fields;
 }
--- a/apps/forwarder/state_journal.cc
+++ b/apps/forwarder/state_journal.cc
@@ -16,7 +16,7 @@
 }
 
 void state_journal::on_change(const fleet_change& change, time_point now) {
-  const auto revised = value_of(change.changed);
+  const auto revised = change.changed.number;
   if (const auto* upstream = std::get_if<upstream_change>(&change.content)) {
     const auto& record = upstream->record;
     switch (upstream->state) {
@@ -69,7 +69,7 @@
 void state_journal::on_rejected(revision changed, time_point now) {
   log_.log(event_id::document_rejected, now, [&] {
     return json::object{{"configuration", configuration_},
-                        {"revision", value_of(changed)}};
+                        {"revision", changed.number}};
   });
 }
 
@@ -81,13 +81,13 @@
       return json::object{{"member", member->name},
                           {"data_centre", member->data_centre},
                           {"address", to_string(member->address)},
-                          {"revision", value_of(item.changed)}};
+                          {"revision", item.changed.number}};
     });
     return;
   }
   log_.log(event_id::member_removed, now, [&] {
     return json::object{{"member", item.key.substr(members_prefix.size())},
-                        {"revision", value_of(item.changed)}};
+                        {"revision", item.changed.number}};
   });
 }
 
@@ -107,14 +107,14 @@
     store_lost_at_ = now;
     log_.log(event_id::store_lost, now, [&] {
       return json::object{{"error", description_of(error).name},
-                          {"revision", value_of(replica_.at())},
+                          {"revision", replica_.at().number},
                           {"age_ms", age_ms(now)}};
     });
     return;
   }
   log_.log(event_id::store_back, now, [&] {
     return json::object{{"lost_ms", whole_ms(now - store_lost_at_)},
-                        {"revision", value_of(replica_.at())}};
+                        {"revision", replica_.at().number}};
   });
 }
 
@@ -126,7 +126,7 @@
   log_.log(event_id::store_restored, now, [&] {
     return json::object{{"era", value_of(era)},
                         {"previous_era", value_of(previous)},
-                        {"revision", value_of(replica_.at())}};
+                        {"revision", replica_.at().number}};
   });
 }
 
@@ -134,9 +134,9 @@
                               time_point now) {
   log_.log(event_id::store_listed, now, [&] {
     return json::object{
-        {"era", value_of(era)},        {"listed", value_of(effect.at)},
+        {"era", value_of(era)},        {"listed", effect.at.number},
         {"items", effect.items},       {"updated", effect.updated},
-        {"outdated", effect.outdated}, {"revision", value_of(replica_.at())}};
+        {"outdated", effect.outdated}, {"revision", replica_.at().number}};
   });
 }
 
@@ -146,13 +146,13 @@
     fresh_ = fresh;
     if (fresh) {
       log_.log(event_id::knowledge_fresh, now, [&] {
-        return json::object{{"revision", value_of(replica_.at())},
+        return json::object{{"revision", replica_.at().number},
                             {"stale_ms", whole_ms(now - stale_since_)}};
       });
     } else {
       stale_since_ = now;
       log_.log(event_id::knowledge_stale, now, [&] {
-        return json::object{{"revision", value_of(replica_.at())},
+        return json::object{{"revision", replica_.at().number},
                             {"age_ms", age_ms(now)}};
       });
     }
@@ -162,7 +162,7 @@
     const auto id = reading ? event_id::store_reading_started
                             : event_id::store_reading_stopped;
     log_.log(id, now, [&] {
-      json::object fields{{"revision", value_of(replica_.at())},
+      json::object fields{{"revision", replica_.at().number},
                           {"age_ms", age_ms(now)}};
       if (reading) {
         fields["rank"] = rank;
@@ -182,7 +182,7 @@
     was_ready_ = true;
     log_.log(event_id::process_ready, now, [&] {
       return json::object{{"configuration", configuration_},
-                          {"revision", value_of(replica_.at())}};
+                          {"revision", replica_.at().number}};
     });
     return;
   }
@@ -194,7 +194,7 @@
 void state_journal::on_summary(std::size_t members, std::uint64_t flows,
                                time_point now) {
   log_.log(event_id::knowledge_confirmed, now, [&] {
-    return json::object{{"revision", value_of(replica_.at())},
+    return json::object{{"revision", replica_.at().number},
                         {"age_ms", age_ms(now)},
                         {"members", members},
                         {"flows", flows}};
--- a/bench/capacity_control.cc
+++ b/bench/capacity_control.cc
@@ -149,7 +149,7 @@
                         service_document(1, usual_upstreams, ++changed);
                     node.on_store_documents({&next, 1}, now, out);
                   }));
-    require(value_of(node.current_configuration().highest) == changed,
+    require(node.current_configuration().highest.number == changed,
             "balancer did not apply every change");
     tick_time.add(services, time_of(3, 100, [&] {
                     now += milliseconds(10);
--- a/include/rosemarydrum/types.h
+++ b/include/rosemarydrum/types.h
@@ -26,11 +26,30 @@
 enum class shard_id : std::uint16_t {};
 /// Unique per incarnation of a decider.
 enum class grant_id : std::uint64_t {};
-/// A revision of the configuration store; increases monotonically.
-enum class revision : std::uint64_t {};
 /// Rises each time that the store is restored from a copy; 0: not stated.
 enum class store_era : std::uint64_t {};
 
+/// A revision of the store. Its number increases with each change within an
+/// era. A restore loses the latest changes and gives their numbers out again,
+/// so that revisions of different eras are ordered by the era.
+struct revision {
+  store_era era{};
+  std::uint64_t number = 0;
+
+  constexpr revision() = default;
+  /// A revision of a store that does not state its era.
+  constexpr explicit revision(std::uint64_t number_in_era)
+      : number(number_in_era) {}
+  constexpr revision(store_era in, std::uint64_t number_in_era)
+      : era(in), number(number_in_era) {}
+
+  static constexpr revision max() {
+    return {store_era(UINT64_MAX), UINT64_MAX};
+  }
+
+  friend constexpr auto operator<=>(const revision&, const revision&) = default;
+};
+
 /// Shards in a cell (the balancers of one data centre).
 inline constexpr std::uint16_t shard_count = 16;
 
--- a/src/balancer/peer_values.cc
+++ b/src/balancer/peer_values.cc
@@ -37,7 +37,7 @@
 void write(const document& from, wire::Document::Builder to) {
   to.setKey(capnp::Text::Reader(from.key.c_str(), from.key.size()));
   to.setText(capnp::Text::Reader(from.text.c_str(), from.text.size()));
-  to.setChanged(value_of(from.changed));
+  to.setChanged(from.changed.number);
 }
 
 void write(const event_record& from, wire::EventRecord::Builder to) {
@@ -52,7 +52,7 @@
   to.setRequest(value_of(from.request));
   to.setUpstream(value_of(from.upstream));
   to.setDataCentre(value_of(from.data_centre));
-  to.setConfiguration(value_of(from.configuration));
+  to.setConfiguration(from.configuration.number);
   to.setDetail(from.detail);
   to.setSuppressed(from.suppressed);
 }
--- a/src/balancer/peer_write.cc
+++ b/src/balancer/peer_write.cc
@@ -11,7 +11,7 @@
   out.setSequence(m.sequence);
   out.setEcho(m.echo);
   out.setDataCentre(value_of(m.data_centre));
-  out.setConfiguration(value_of(m.configuration));
+  out.setConfiguration(m.configuration.number);
   out.setLeaving(m.leaving);
   write_ids(m.wanted, out.initWanted(m.wanted.size()));
   write_ids(m.granted, out.initGranted(m.granted.size()));
@@ -136,7 +136,7 @@
 }
 
 void put(const config_pull& m, body_builder to) {
-  to.initConfigPull().setAfter(value_of(m.after));
+  to.initConfigPull().setAfter(m.after.number);
 }
 
 void put(const events_pull& m, body_builder to) {
--- a/src/configuration/config_sync_state.cc
+++ b/src/configuration/config_sync_state.cc
@@ -72,8 +72,7 @@
   // A single document may exceed max_push_bytes; a second one of that size
   // would exceed max_peer_message.
   if (is_last && detail::size_of(page) <= max_push_bytes) {
-    auto later =
-        documents.page(highest(), revision(UINT64_MAX), max_push_bytes);
+    auto later = documents.page(highest(), revision::max(), max_push_bytes);
     page.insert(page.end(), std::make_move_iterator(later.begin()),
                 std::make_move_iterator(later.end()));
   }
--- a/src/configuration/document_set.cc
+++ b/src/configuration/document_set.cc
@@ -136,7 +136,8 @@
                                          std::size_t max_bytes) const {
   std::vector<document> documents;
   std::size_t bytes = 0;
-  for (auto item = texts_.lower_bound({revision(value_of(after) + 1), {}});
+  const revision first(after.era, after.number + 1);
+  for (auto item = texts_.lower_bound({first, {}});
        item != texts_.end() && item->first.first <= last; ++item) {
     const auto& [changed, key] = item->first;
     bytes += size_of(key, item->second);
--- a/src/spread/replica_spread_requests.cc
+++ b/src/spread/replica_spread_requests.cc
@@ -55,8 +55,9 @@
     return;
   }
   if (const auto member = random_member(random_() % 2 == 0)) {
+    const auto announced = missing.front().second;
     start_fetch({member->address, fetch_kind::newer,
-                 revision(value_of(missing.front().second) - 1)},
+                 revision(announced.era, announced.number - 1)},
                 out);
   }
 }
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -10,7 +10,7 @@
   to.setKey(item.key);
   to.setValue(kj::arrayPtr(reinterpret_cast<const kj::byte*>(item.value.data()),
                            item.value.size()));
-  to.setChanged(value_of(item.changed));
+  to.setChanged(item.changed.number);
   to.setRemoved(item.removed);
   to.setOmitted(item.omitted);
 }
@@ -35,8 +35,8 @@
   to.setReading(body.reading);
   to.setLeaving(body.leaving);
   to.setComplete(body.listing.complete);
-  to.setAfter(value_of(body.listing.after));
-  to.setShownAt(value_of(body.listing.at));
+  to.setAfter(body.listing.after.number);
+  to.setShownAt(body.listing.at.number);
   to.setAgeMs(static_cast<std::uint32_t>(body.age.count()));
   auto items = to.initItems(static_cast<unsigned>(body.listing.items.size()));
   for (unsigned i = 0; i < items.size(); ++i) {
@@ -87,7 +87,7 @@
   auto root = builder.initRoot<wire::SpreadMessage>();
   root.setSender(message.sender);
   root.setRun(value_of(message.run));
-  root.setAt(value_of(message.at));
+  root.setAt(message.at.number);
   root.setLogicalTime(message.logical_time);
   if (const auto* body = std::get_if<bulletin>(&message.body)) {
     write(*body, root.getKind().initBulletin());
--- a/test/config_cluster.h
+++ b/test/config_cluster.h
@@ -68,7 +68,7 @@
       if (item.text.empty()) {
         found.erase(id);
       } else {
-        found[id] = value_of(item.changed);
+        found[id] = item.changed.number;
       }
     }
     return found;
@@ -220,12 +220,12 @@
               std::find_if(store.versions.begin(), store.versions.end(),
                            [&, seen = last](const document& item) {
                              return item.key == key && item.text.empty() &&
-                                    value_of(item.changed) >= seen;
+                                    item.changed.number >= seen;
                            });
           if (deleted == store.versions.end()) {
             return false;
           }
-          last = value_of(deleted->changed);
+          last = deleted->changed.number;
         }
       }
       for (const auto& [id, changed] : found) {
--- a/test/config_editor-test.cc
+++ b/test/config_editor-test.cc
@@ -284,7 +284,7 @@
       if (result.error == error_kind::none) {
         RC_ASSERT(created == 1);
         const auto after_change =
-            callers(store.history.at(value_of(result.changed) - 1));
+            callers(store.history.at(result.changed.number - 1));
         RC_ASSERT(
             std::count(after_change.begin(), after_change.end(), caller) == 1);
       } else if (result.outcome == certainty::not_run) {
--- a/test/config_sync-test.cc
+++ b/test/config_sync-test.cc
@@ -85,7 +85,7 @@
       const auto& current = cluster.at(i).current();
       RC_ASSERT(test::find_revisions_in_force(current) ==
                 cluster.store.expected());
-      RC_ASSERT(value_of(current.highest) == cluster.store.last());
+      RC_ASSERT(current.highest.number == cluster.store.last());
       RC_ASSERT(cluster.at(i).is_ready(cluster.now()));
     }
   }));
@@ -291,8 +291,8 @@
       BOOST_REQUIRE(cluster.step());
       bool all = true;
       for (std::size_t each = 0; each < cluster.size(); ++each) {
-        all = all && value_of(cluster.at(each).current().highest) ==
-                         cluster.store.last();
+        all = all &&
+              cluster.at(each).current().highest.number == cluster.store.last();
       }
       if (all && !needed) {
         needed = cluster.now() - written;
--- a/test/fleet/directory_fixture.h
+++ b/test/fleet/directory_fixture.h
@@ -25,7 +25,7 @@
                                   cold_left,
                                   incarnation(1)},
                                  milliseconds(0)};
-    revision_ = revision(value_of(revision_) + 1);
+    revision_ = revision(revision_.number + 1);
     directory.apply(change, revision_, start);
     return *directory.find(upstream_key(key));
   }
--- a/test/fleet/fake_kv_store.h
+++ b/test/fleet/fake_kv_store.h
@@ -190,7 +190,7 @@
   }
 
   revision apply(kv_item item) {
-    at_ = revision(value_of(at_) + 1);
+    at_ = revision(at_.number + 1);
     item.changed = at_;
     lives_.back().history.push_back({item, now_()});
     if (!suppress_watches) {
--- a/test/forwarder_fixture.h
+++ b/test/forwarder_fixture.h
@@ -97,7 +97,7 @@
   void change(decltype(fleet_change::content) content, time_point now = start) {
     fleet_update update;
     update.confirmed_at = start;
-    revision_ = revision(value_of(revision_) + 1);
+    revision_ = revision(revision_.number + 1);
     update.changes.push_back({revision_, std::move(content)});
     tested.on_update(update, now);
   }
--- a/test/replica_spread-test.cc
+++ b/test/replica_spread-test.cc
@@ -236,7 +236,7 @@
   out = {};
   bulletin body;
   body.listing.after = ahead_replica.at();
-  receive_bulletin(body, value_of(ahead_replica.at()));
+  receive_bulletin(body, ahead_replica.at().number);
   int pages = 0;
   while (out.fetch && pages < 10) {
     ++pages;
--- a/test/soak/kv_server.cc
+++ b/test/soak/kv_server.cc
@@ -41,13 +41,12 @@
 
 json::object object_of(const kv_item& item) {
   if (item.removed) {
-    return {
-        {"Key", item.key}, {"Rev", value_of(item.changed)}, {"Removed", true}};
+    return {{"Key", item.key}, {"Rev", item.changed.number}, {"Removed", true}};
   }
   return {{"Key", item.key},
           {"Value", base64(item.value)},
-          {"Rev", value_of(item.changed)},
-          {"CreateRevision", value_of(item.changed)},
+          {"Rev", item.changed.number},
+          {"CreateRevision", item.changed.number},
           {"Lease", value_of(item.lease)}};
 }
 
@@ -148,10 +147,10 @@
       const auto key = wanted.text("Key");
       auto read = store_.list(key, {}, lag);
       if (read.items.empty() || read.items[0].key != key) {
-        return {404, {{"CurrentRev", value_of(read.at)}}};
+        return {404, {{"CurrentRev", read.at.number}}};
       }
       auto body = object_of(read.items[0]);
-      body["CurrentRev"] = value_of(read.at);
+      body["CurrentRev"] = read.at.number;
       return {200, std::move(body)};
     }
     const auto read =
@@ -159,7 +158,7 @@
     return {200,
             {{"items", array_of(read.items)},
              {"MorePages", read.more},
-             {"CurrentRev", value_of(read.at)}}};
+             {"CurrentRev", read.at.number}}};
   }
 
   answer transact() {
@@ -177,7 +176,7 @@
       changed = store_.put(std::string(put.at("Key").as_string()),
                            from_base64(put.at("Value").as_string()), lease);
     }
-    return {200, {{"Rev", value_of(changed)}}};
+    return {200, {{"Rev", changed.number}}};
   }
 
   void watch(const call& wanted) {
@@ -196,7 +195,7 @@
       } else {
         self->write({200,
                      {{"events", array_of(events.items)},
-                      {"CurrentRev", value_of(events.at)}}});
+                      {"CurrentRev", events.at.number}}});
       }
     };
     const auto now = store_.events_after(prefix, after);
--- a/test/stale_listing-test.cc
+++ b/test/stale_listing-test.cc
@@ -23,7 +23,7 @@
   std::map<std::string, std::uint64_t> found;
   for (const auto& each : listing.items) {
     if (!each.removed) {
-      found[each.key] = value_of(each.changed);
+      found[each.key] = each.changed.number;
     }
   }
   return found;
@@ -79,8 +79,7 @@
                            const std::string& end) {
       std::map<std::string, kv_item> items;
       for (const auto& each : history) {
-        if (value_of(each.changed) <= at && each.key >= begin &&
-            each.key < end) {
+        if (each.changed.number <= at && each.key >= begin && each.key < end) {
           items[each.key] = each;
         }
       }
--- a/test/standins/store_server.h
+++ b/test/standins/store_server.h
@@ -193,7 +193,7 @@
     } else if (changed) {
       reply(from, 200,
             boost::json::serialize(boost::json::object{
-                {"key", key}, {"revision", value_of(*changed)}}));
+                {"key", key}, {"revision", changed->number}}));
     } else {
       refuse(from, 409, "conflict");
     }
--- a/test/standins/store_state.h
+++ b/test/standins/store_state.h
@@ -53,7 +53,7 @@
       return std::nullopt;
     }
     by_revision_.erase(current);
-    last_ = revision(value_of(last_) + 1);
+    last_ = revision(last_.number + 1);
     changed_[key] = last_;
     by_revision_[last_] = {key, std::move(text), last_};
     return last_;
