review: case 3 with a herd kill and a stated cold rate

Cause: a process treats the backends of a zone that is taken back as cold only if it has itself seen the zone out of service.

Change: half of the processes are killed 0.35 s before a zone is taken back.

--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,4 +1,4 @@
-// A zone is taken back while one of its machines is being restarted. The
+// A zone is taken back while half of the machines are being restarted. The
 // zone's backends have become cold shortly before.
 
 #include <algorithm>
@@ -16,14 +16,16 @@
 constexpr milliseconds work_time{55};
 /// `WarmupS`; `WarmupPerS` x `ColdOver` + `ColdSlack` of the settings.
 constexpr milliseconds warmup{2000};
-constexpr int cold_limit = 5;
+constexpr const char* warmup_per_s = "4.0";
+constexpr int cold_limit = 11;
 constexpr milliseconds evacuated_at{2000};
 constexpr milliseconds evacuated_for{8000};
 /// The zone's backends become cold this long before it is taken back.
 constexpr milliseconds cold_before{300};
-/// One process of the zone is killed this long before; the platform starts it
-/// again after 0.4 s.
+/// Processes are killed this long before; the platform starts them again after
+/// 0.4 s.
 constexpr milliseconds killed_before{350};
+constexpr int killed = 4;
 constexpr milliseconds end_time{16'000};
 constexpr milliseconds one_second{1000};
 
@@ -41,7 +43,7 @@
       : at_(record), trouble_(trouble) {}
 
   int run() {
-    at_.note(trouble_ ? "with the kill of a process"
+    at_.note(trouble_ ? "with the kill of processes"
                       : "without the disruption");
     for (std::size_t z = 0; z < places.size(); ++z) {
       const auto number = std::to_string(z + 1);
@@ -57,7 +59,8 @@
             .work = work_time;
       }
     }
-    at_.data.put("op/config", configuration_text(3, "chime", idle_timeout_ms));
+    at_.data.put("op/config", configuration_text(3, "chime", idle_timeout_ms,
+                                                 "", warmup_per_s));
     at_.world.beat(heartbeat);
     at_.start_all();
     at_.when_ready([this] { begin(); });
@@ -82,9 +85,11 @@
     });
     if (trouble_) {
       at_.loop.after(taken_back - killed_before, [this] {
-        auto& which = *at_.fleet.all().front();
-        at_.note("SIGKILL to " + which.name);
-        at_.fleet.send_signal(which, SIGKILL);
+        for (int i = 0; i < killed; ++i) {
+          const auto& which = *at_.fleet.all()[i];
+          at_.note("SIGKILL to " + which.name);
+          at_.fleet.send_signal(which, SIGKILL);
+        }
       });
     }
     at_.loop.after(taken_back, [this] {
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -22,7 +22,8 @@
 /// The text of a configuration with one route, as the operator writes it.
 inline std::string configuration_text(int version, const std::string& service,
                                       int idle_timeout_ms,
-                                      const std::string& more_routes = "") {
+                                      const std::string& more_routes = "",
+                                      const std::string& warmup_per_s = "0.0") {
   return "{\"Version\":" + std::to_string(version) +
          ",\"Routes\":[{\"Name\":\"r-main\",\"Host\":\"" + service_address +
          "\",\"Prefix\":\"/" + std::to_string(service_port) +
@@ -31,7 +32,9 @@
          service + "\",\"Attempts\":2}" + more_routes +
          "],\"Services\":[{\"Name\":\"" + service +
          "\",\"HealthPath\":\"/health\",\"MaxConns\":2000,\"Proto\":\"h1\","
-         "\"Tls\":false,\"WarmupS\":2.0,\"WarmupPerS\":0.0}],\"Limits\":{"
+         "\"Tls\":false,\"WarmupS\":2.0,\"WarmupPerS\":" +
+         warmup_per_s +
+         "}],\"Limits\":{"
          "\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":262144,"
          "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":" +
          std::to_string(idle_timeout_ms) + "}}";
--- a/review/standins/nodes.cc
+++ b/review/standins/nodes.cc
@@ -201,8 +201,8 @@
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const auto address = socket_address(which.ip, ports_.ready);
   // The result shows when the socket becomes writable.
-  static_cast<void>(connect(fd, reinterpret_cast<const sockaddr*>(&address),
-                            sizeof address));
+  static_cast<void>(
+      connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address));
   auto done = std::make_shared<bool>(false);
   const auto finish = [this, fd, done, &which](bool ready) {
     if (!std::exchange(*done, true)) {
