--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -23,7 +23,8 @@
 inline std::string configuration_text(int version, const std::string& service,
                                       int idle_timeout_ms,
                                       const std::string& more_routes = "",
-                                      const std::string& warmup_per_s = "0.0") {
+                                      const std::string& warmup_per_s = "0.0",
+                                      const std::string& more_services = "") {
   return "{\"Version\":" + std::to_string(version) +
          ",\"Routes\":[{\"Name\":\"r-main\",\"Host\":\"" + service_address +
          "\",\"Prefix\":\"/" + std::to_string(service_port) +
@@ -33,8 +34,8 @@
          "],\"Services\":[{\"Name\":\"" + service +
          "\",\"HealthPath\":\"/health\",\"MaxConns\":2000,\"Proto\":\"h1\","
          "\"Tls\":false,\"WarmupS\":2.0,\"WarmupPerS\":" +
-         warmup_per_s +
-         "}],\"Limits\":{"
+         warmup_per_s + "}" + more_services +
+         "],\"Limits\":{"
          "\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":262144,"
          "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":" +
          std::to_string(idle_timeout_ms) + "}}";
--- a/review/standins/store.cc
+++ b/review/standins/store.cc
@@ -180,7 +180,23 @@
   });
 }
 
+void store::go_down() {
+  down_ = true;
+  for (const auto& each : sessions_) {
+    if (each->fd >= 0 && each->waits) {
+      each->answer(503, "{}");
+    }
+  }
+  for (auto& [id, each] : leases_) {
+    each.ends = clock::now();
+  }
+}
+
 void store::handle(const std::shared_ptr<session>& on, const call& wanted) {
+  if (down_) {
+    on->answer(503, "{}");
+    return;
+  }
   const auto last = wanted.path.substr(wanted.path.rfind('/') + 1);
   const auto id = std::strtoull(last.c_str(), nullptr, 10);
   if (wanted.path == "/v1/kv-range") {
--- a/review/standins/store.h
+++ b/review/standins/store.h
@@ -21,6 +21,10 @@
   void remove(const std::string& key);
   bool has(const std::string& key) const { return items_.contains(key); }
 
+  /// Answers all calls with 503 until `come_back`; leases run out meanwhile.
+  void go_down();
+  void come_back() { down_ = false; }
+
   /// Age of what reads with AllowStale return.
   milliseconds stale_lag{0};
 
@@ -57,6 +61,7 @@
 
   event_loop& loop_;
   int listener_;
+  bool down_ = false;
   std::uint64_t revision_ = 1;
   std::uint64_t next_lease_ = 70000;
   std::map<std::string, item> items_;
