--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,5 +1,5 @@
-// The platform's store is down for some seconds, and leases run out meanwhile.
-// Later a zone is taken back that holds all backends of a service.
+// A zone is taken back while half of the machines are being restarted. The
+// zone's backends have become cold shortly before.
 
 #include <algorithm>
 #include <csignal>
@@ -18,18 +18,15 @@
 constexpr milliseconds warmup{2000};
 constexpr const char* warmup_per_s = "4.0";
 constexpr int cold_limit = 11;
-constexpr milliseconds down_at{1000};
-constexpr milliseconds down_for{4500};
-constexpr milliseconds evacuated_at{6500};
+constexpr milliseconds evacuated_at{2000};
 constexpr milliseconds evacuated_for{8000};
 /// The zone's backends become cold this long before it is taken back.
 constexpr milliseconds cold_before{300};
-/// Every so many requests one goes to the archive.
-constexpr int archive_share = 5;
-constexpr const char* archive_zone = "portsmouth";
-constexpr const char* archive_address = "127.200.0.2";
-constexpr int archive_backends = 2;
-constexpr milliseconds end_time{20'000};
+/// Processes are killed this long before; the platform starts them again after
+/// 0.4 s.
+constexpr milliseconds killed_before{350};
+constexpr int killed = 4;
+constexpr milliseconds end_time{16'000};
 constexpr milliseconds one_second{1000};
 
 struct place {
@@ -46,7 +43,7 @@
       : at_(record), trouble_(trouble) {}
 
   int run() {
-    at_.note(trouble_ ? "with the outage of the store"
+    at_.note(trouble_ ? "with the kill of processes"
                       : "without the disruption");
     for (std::size_t z = 0; z < places.size(); ++z) {
       const auto number = std::to_string(z + 1);
@@ -62,15 +59,8 @@
             .work = work_time;
       }
     }
-    for (int i = 0; i < archive_backends; ++i) {
-      at_.world
-          .add_backend("archive", archive_zone,
-                       "127.50.9." + std::to_string(20 + i))
-          .work = work_time;
-    }
     at_.data.put("op/config", configuration_text(3, "chime", idle_timeout_ms,
-                                                 archive_route(), warmup_per_s,
-                                                 archive_service()));
+                                                 "", warmup_per_s));
     at_.world.beat(heartbeat);
     at_.start_all();
     at_.when_ready([this] { begin(); });
@@ -78,48 +68,33 @@
   }
 
  private:
-  static std::string archive_route() {
-    return std::string(",{\"Name\":\"r-archive\",\"Host\":\"") +
-           archive_address + "\",\"Prefix\":\"/" +
-           std::to_string(service_port) +
-           "/\",\"Type\":\"download\",\"TimeoutMs\":3000,\"SloMs\":500,"
-           "\"Priority\":2,\"Service\":\"archive\",\"Attempts\":2}";
-  }
-  static std::string archive_service() {
-    return std::string(",{\"Name\":\"archive\",\"HealthPath\":\"/health\",") +
-           "\"MaxConns\":2000,\"Proto\":\"h1\",\"Tls\":false,\"WarmupS\":2.0,"
-           "\"WarmupPerS\":" +
-           warmup_per_s + "}";
-  }
-
   void begin() {
     at_.note("all machines are in rotation");
     const auto taken_back = evacuated_at + evacuated_for;
-    if (trouble_) {
-      at_.loop.after(down_at, [this] {
-        at_.note("the store answers 503; leases run out");
-        at_.data.go_down();
-      });
-      at_.loop.after(down_at + down_for, [this] {
-        at_.note("the store is back");
-        at_.data.come_back();
-      });
-    }
     at_.loop.after(evacuated_at, [this] {
-      at_.note(std::string("op/evacuate/") + archive_zone + " is written");
-      at_.data.put(std::string("op/evacuate/") + archive_zone, "{}");
+      at_.note("op/evacuate/hartford is written");
+      at_.data.put("op/evacuate/hartford", "{}");
     });
     at_.loop.after(taken_back - cold_before, [this] {
-      at_.note("the backends of the zone become cold");
+      at_.note("the backends of hartford become cold");
       for (const auto& each : at_.world.backends) {
-        if (each->zone == archive_zone) {
+        if (each->zone == "hartford") {
           each->cold_until = clock::now() + warmup;
         }
       }
     });
+    if (trouble_) {
+      at_.loop.after(taken_back - killed_before, [this] {
+        for (int i = 0; i < killed; ++i) {
+          const auto& which = *at_.fleet.all()[i];
+          at_.note("SIGKILL to " + which.name);
+          at_.fleet.send_signal(which, SIGKILL);
+        }
+      });
+    }
     at_.loop.after(taken_back, [this] {
-      at_.note(std::string("op/evacuate/") + archive_zone + " is removed");
-      at_.data.remove(std::string("op/evacuate/") + archive_zone);
+      at_.note("op/evacuate/hartford is removed");
+      at_.data.remove("op/evacuate/hartford");
     });
     next_request();
     at_.loop.after(end_time, [this] { judge(); });
@@ -139,10 +114,9 @@
     }
     const auto port = static_cast<std::uint16_t>(10'000 + sent_ % 50'000);
     ++sent_;
-    at_.world.open_flow(
-        places[zone].zone, ip_of("127.100.0." + std::to_string(zone + 1)), port,
-        ip_of(sent_ % archive_share == 0 ? archive_address : service_address),
-        service_port);
+    at_.world.open_flow(places[zone].zone,
+                        ip_of("127.100.0." + std::to_string(zone + 1)), port,
+                        ip_of(service_address), service_port);
     next_at_ = next_at_ == time_point{} ? clock::now() : next_at_;
     next_at_ += std::chrono::microseconds(
         static_cast<std::int64_t>(1e6 / requests_per_second));
