--- a/apps/command/explanation.cc
+++ b/apps/command/explanation.cc
@@ -136,6 +136,11 @@
               "); sent to upstream " + e.text("upstream") +
               configuration_text(e);
      }},
+    {"flow_retagged",
+     [](const logged_event& e) {
+       return "open at upstream " + e.text("upstream") + "; upstream " +
+              e.text("other") + " was sent its tag" + configuration_text(e);
+     }},
     {"flow_refused",
      [](const logged_event& e) {
        return "refused with a reset: " + e.text("reason") + " for service " +
--- a/apps/forwarder/control_loop.cc
+++ b/apps/forwarder/control_loop.cc
@@ -84,6 +84,9 @@
 void control_loop::take_report(data_report&& report) {
   report_ = std::move(report);
   agent_.on_failures(report_.failures);
+  if (!report_.flows.empty()) {
+    agent_.on_flow_records(report_.flows, runtime_clock::now());
+  }
 }
 
 void control_loop::set_log(std::uint32_t flows, event_severity severity) {
--- a/apps/forwarder/data_loop.cc
+++ b/apps/forwarder/data_loop.cc
@@ -15,6 +15,7 @@
 constexpr milliseconds tick_interval{100};
 constexpr milliseconds sweep_interval{300};
 constexpr milliseconds report_interval{1000};
+constexpr std::size_t max_unsent_flows = 4096;
 /// A thread counts as stalled if its timer runs later than this.
 constexpr milliseconds stall_time{400};
 
@@ -78,6 +79,9 @@
     ++received;
   }
   send_due_packets(received == max_batch, now);
+  if (core_.has_flow_records()) {
+    report(now);
+  }
 }
 
 bool data_loop::receive_one(time_point now) {
@@ -195,7 +199,15 @@
 void data_loop::report(time_point now) {
   next_report_ = now + report_interval;
   metrics_.flows = core_.flow_count();
-  if (!rings_.to_control.push({was_unable_, metrics_, core_.take_failures()})) {
+  for (const auto& record : core_.take_flow_records()) {
+    if (unsent_flows_.size() < max_unsent_flows) {
+      unsent_flows_.push_back(record);
+    }
+  }
+  if (rings_.to_control.push(
+          {was_unable_, metrics_, core_.take_failures(), unsent_flows_})) {
+    unsent_flows_.clear();
+  } else {
     // The ring is full because the control thread is behind. Retries at the
     // next tick.
     next_report_ = now + tick_interval;
--- a/apps/forwarder/data_loop.h
+++ b/apps/forwarder/data_loop.h
@@ -60,6 +60,8 @@
   time_point next_sweep_;
   time_point next_report_;
   bool was_unable_ = false;
+  /// Records of flows that did not fit into the ring.
+  std::vector<flow_record> unsent_flows_;
   std::atomic<std::uint64_t> packets_received_{0};
   std::vector<std::uint8_t> buffer_;
   std::uint16_t caller_port_;
--- a/apps/forwarder/flow_journal.cc
+++ b/apps/forwarder/flow_journal.cc
@@ -81,6 +81,19 @@
   });
 }
 
+void flow_journal::on_retagged(const open_flow& flow,
+                               const known_upstream& upstream,
+                               const known_upstream& other, time_point now) {
+  ++metrics_.flows_retagged;
+  log_.log(event_id::flow_retagged, now, [&] {
+    return with_known_state({{"flow", text_of(flow.ends)},
+                             {"upstream", text_of(upstream.record.key)},
+                             {"other", text_of(other.record.key)},
+                             {"attempts", flow.attempts}},
+                            now);
+  });
+}
+
 void flow_journal::on_refused(const flow_packet& packet, verdict_reason reason,
                               const std::string& route,
                               const std::string& service,
--- a/apps/forwarder/flow_journal.h
+++ b/apps/forwarder/flow_journal.h
@@ -28,6 +28,8 @@
   void on_placed_again(const open_flow& flow, const known_upstream& upstream,
                        const known_upstream& silent, duration waited,
                        repeat_cause cause, time_point now) override;
+  void on_retagged(const open_flow& flow, const known_upstream& upstream,
+                   const known_upstream& other, time_point now) override;
   void on_refused(const flow_packet& packet, verdict_reason reason,
                   const std::string& route, const std::string& service,
                   const upstream_counts& counts, time_point now) override;
--- a/apps/forwarder/forwarder_daemon.cc
+++ b/apps/forwarder/forwarder_daemon.cc
@@ -75,7 +75,8 @@
           incarnation(run),
           peer_endpoints(options),
           max_age(options),
-          random_number()};
+          random_number(),
+          options.flow_lifetime};
 }
 
 event_logger logger(log_ring& ring, logical_clock& clock,
--- a/apps/forwarder/forwarder_metrics.h
+++ b/apps/forwarder/forwarder_metrics.h
@@ -21,6 +21,7 @@
       resets{};
   std::array<std::uint64_t, placement_reason_names.size()> placed{};
   std::uint64_t placed_again = 0;
+  std::uint64_t flows_retagged = 0;
   std::uint64_t flows_opened = 0;
   std::uint64_t flows_ended = 0;
   std::uint64_t flows_unanswered = 0;
--- a/apps/forwarder/forwarder_rings.h
+++ b/apps/forwarder/forwarder_rings.h
@@ -25,6 +25,8 @@
   data_metrics metrics;
   /// Flows that failed since the last report.
   std::vector<upstream_failures> failures;
+  /// What to tell the other members of flows.
+  std::vector<flow_record> flows;
 };
 
 /// Bounded rings between the threads of the forwarder.
--- a/apps/forwarder/metrics_text.cc
+++ b/apps/forwarder/metrics_text.cc
@@ -46,6 +46,7 @@
   append(page, "resets_sent", "reason", verdict_reason_names, data.resets);
   append(page, "flows_placed", "reason", placement_reason_names, data.placed);
   page.counter("flows_placed_again", data.placed_again);
+  page.counter("flows_retagged", data.flows_retagged);
   page.counter("flows_opened", data.flows_opened);
   page.counter("flows_ended", data.flows_ended);
   page.counter("flows_unanswered", data.flows_unanswered);
--- a/include/rosemarydrum/events/event_record.h
+++ b/include/rosemarydrum/events/event_record.h
@@ -73,6 +73,7 @@
   flow_failed = 706,
   flow_stalled = 707,
   flow_reset = 708,
+  flow_retagged = 709,
   service_unable = 710,
   service_able = 711,
 };
--- a/include/rosemarydrum/forwarding/fleet_agent.h
+++ b/include/rosemarydrum/forwarding/fleet_agent.h
@@ -9,6 +9,7 @@
 #include "rosemarydrum/forwarding/fleet_schema.h"
 #include "rosemarydrum/forwarding/fleet_update.h"
 #include "rosemarydrum/spread/failure_exchange.h"
+#include "rosemarydrum/spread/flow_record_exchange.h"
 #include "rosemarydrum/spread/member_registration.h"
 #include "rosemarydrum/spread/replica_spread.h"
 #include "rosemarydrum/store/item_replica.h"
@@ -77,6 +78,8 @@
   void on_fetched(const std::optional<spread_message>& answer, time_point now);
   /// Adds failed flows that this process had placed.
   void on_failures(const std::vector<upstream_failures>& failures);
+  /// Tells other members which upstreams hold flows of this process.
+  void on_flow_records(const std::vector<flow_record>& records, time_point now);
   /// The process did not run for a while, so queued messages are outdated.
   void on_stall(time_point now);
   /// Announces a planned stop, so that other members take over.
@@ -101,6 +104,8 @@
   /// Whether a change does not put an older configuration in effect.
   bool is_current(const fleet_change& change, time_point now);
   void send_failures(time_point now);
+  void send_flow_records(time_point now);
+  void on_flow_report(const flow_record_report& report, time_point now);
   /// Returns an update that holds only the replica's revision and its age.
   fleet_update update_without_changes() const;
   void send_update(const std::vector<kv_item>& new_items, time_point now);
@@ -113,6 +118,7 @@
   item_replica replica_;
   replica_spread spread_;
   failure_exchange failures_;
+  flow_record_exchange flows_;
   store_follower follower_;
   value_reader values_;
   member_registration registration_;
--- a/include/rosemarydrum/forwarding/fleet_update.h
+++ b/include/rosemarydrum/forwarding/fleet_update.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "rosemarydrum/forwarding/fleet_change.h"
+#include "rosemarydrum/forwarding/flow_record.h"
 #include "rosemarydrum/forwarding/upstream_failures.h"
 #include "rosemarydrum/types.h"
 
@@ -17,6 +18,8 @@
   std::optional<std::vector<std::string>> members;
   /// Failures that other members of the data centre have counted.
   std::vector<reported_failures> failures;
+  /// Upstreams of flows, as other members have seen them.
+  std::vector<flow_record> flows;
   /// Number of other members of this data centre.
   std::size_t data_centre_peers = 0;
   /// The replica was out of date and is fresh again.
--- a/include/rosemarydrum/forwarding/flow_packet.h
+++ b/include/rosemarydrum/forwarding/flow_packet.h
@@ -15,6 +15,9 @@
   friend auto operator<=>(const flow_ends&, const flow_ends&) = default;
 };
 
+/// Maximum lifetime of a flow.
+inline constexpr seconds default_flow_lifetime{60};
+
 /// Identifies the flow's upstream in all packets after the first; 0 means none.
 enum class upstream_tag : std::uint32_t {};
 
--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -10,6 +10,7 @@
 #include "rosemarydrum/forwarding/fleet_update.h"
 #include "rosemarydrum/forwarding/flow_codec.h"
 #include "rosemarydrum/forwarding/flow_packet.h"
+#include "rosemarydrum/forwarding/flow_records.h"
 #include "rosemarydrum/forwarding/forwarder_observer.h"
 #include "rosemarydrum/forwarding/open_flows.h"
 #include "rosemarydrum/forwarding/packet_verdict.h"
@@ -45,6 +46,13 @@
 /// packet.
 inline constexpr int max_opening_repeats = 2;
 
+/// Limits on how often an upstream that was tried for a flow is told the tag of
+/// the flow's upstream.
+inline constexpr milliseconds retag_interval{200};
+inline constexpr int max_retags = 4;
+/// Number of upstreams that are told when the flow opens.
+inline constexpr std::size_t max_retagged_upstreams = 2;
+
 /// A request without any response data for this long has failed.
 inline constexpr milliseconds first_response_timeout{1000};
 /// A retransmission without an answer for this long was not lost by the network
@@ -85,6 +93,9 @@
   /// to the other members.
   std::vector<upstream_failures> take_failures();
   bool has_failures() const { return !failures_.empty(); }
+  /// Returns what to tell the other members of flows since the last call.
+  std::vector<flow_record> take_flow_records();
+  bool has_flow_records() const { return !new_records_.empty(); }
 
   const upstream_directory& directory() const { return directory_; }
   const route_table& routes() const { return routes_; }
@@ -123,6 +134,21 @@
   bool is_recovering_from_stall(time_point now) const;
   bool is_past_out_grace(upstream_index upstream, time_point now) const;
   void mark_open(open_flow& flow, upstream_index upstream, time_point now);
+  void on_first_tag(open_flow& flow, upstream_tag tag, time_point now);
+  void retag_other_upstreams(open_flow& flow, time_point now);
+  void retag(open_flow& flow, upstream_key other, time_point now);
+  void on_other_tag(open_flow& flow, upstream_tag tag, time_point now);
+  std::optional<upstream_index> upstream_of(const flow_packet& packet,
+                                            const open_flow* flow,
+                                            time_point now) const;
+  std::optional<upstream_index> opened_elsewhere(const flow_ends& flow,
+                                                 time_point now);
+  void on_flow_record(const flow_record& record, time_point now);
+  void on_opened_elsewhere(open_flow& flow, upstream_index upstream,
+                           time_point now);
+  bool was_tried(const open_flow& flow, upstream_index upstream) const;
+  void tell_others(const open_flow& flow, flow_record_kind kind,
+                   time_point now);
   void set_load(open_flow& flow, flow_load load);
   void check_idle_later(open_flow& flow, time_point now);
   void check_idle_flows(time_point now);
@@ -183,6 +209,8 @@
   /// Keyed by route name.
   std::map<std::string, response_size_baseline> response_baselines_;
   std::vector<upstream_failures> failures_;
+  flow_records records_;
+  std::vector<flow_record> new_records_;
   std::vector<held_packet> held_;
   std::vector<delayed_packet> due_;
 };
--- a/include/rosemarydrum/forwarding/forwarder_observer.h
+++ b/include/rosemarydrum/forwarding/forwarder_observer.h
@@ -39,6 +39,12 @@
                                const known_upstream& /*silent*/,
                                duration /*waited*/, repeat_cause /*cause*/,
                                time_point /*now*/) {}
+  /// The opening packet goes once more to `other`, which was tried as well, so
+  /// that a late answer of it names the flow's upstream.
+  virtual void on_retagged(const open_flow& /*flow*/,
+                           const known_upstream& /*upstream*/,
+                           const known_upstream& /*other*/,
+                           time_point /*now*/) {}
   /// The flow of the packet is reset.
   virtual void on_refused(const flow_packet& /*packet*/,
                           verdict_reason /*reason*/,
--- a/include/rosemarydrum/forwarding/open_flows.h
+++ b/include/rosemarydrum/forwarding/open_flows.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <deque>
 #include <string>
+#include <vector>
 
 #include "rosemarydrum/forwarding/answer_progress.h"
 #include "rosemarydrum/forwarding/flow_load.h"
@@ -49,8 +50,17 @@
   std::uint8_t attempts = 0;
   /// Repeats by the forwarder since the caller's last transmission.
   std::uint8_t repeats = 0;
-  /// The opening packet, until the flow is open.
+  /// Upstreams to which the opening packet was sent.
+  std::vector<upstream_key> tried;
+  /// Another forwarder may have sent it to an upstream as well.
+  bool is_shared = false;
+  /// The opening packet. Kept after the flow has opened only if another
+  /// upstream may answer it late.
   bytes opening;
+  /// When the other tried upstreams were last told the flow's tag, and how
+  /// often.
+  time_point retagged_at;
+  std::uint8_t retags = 0;
   time_point opened_at;
   /// When the first data of the caller arrived.
   time_point first_data_at;
--- a/include/rosemarydrum/forwarding/packet_verdict.h
+++ b/include/rosemarydrum/forwarding/packet_verdict.h
@@ -24,6 +24,9 @@
   placed,
   /// The packet belongs to a flow that has an upstream.
   established,
+  /// The opening packet goes once more to an upstream that does not hold the
+  /// flow, so that its late answers name the one that does.
+  retagged,
   /// No route has the destination address.
   no_route,
   /// No upstream of the service takes flows.
@@ -53,9 +56,9 @@
 
 inline constexpr std::array<std::string_view,
                             static_cast<std::size_t>(verdict_reason::count)>
-    verdict_reason_names{{"placed", "established", "no_route", "no_upstream",
-                          "unreachable", "unresponsive", "unknown_tag",
-                          "data_centre_out", "held", "stalled",
+    verdict_reason_names{{"placed", "established", "retagged", "no_route",
+                          "no_upstream", "unreachable", "unresponsive",
+                          "unknown_tag", "data_centre_out", "held", "stalled",
                           "not_a_callers_packet", "malformed"}};
 
 constexpr std::string_view name_of(verdict_reason reason) {
--- a/include/rosemarydrum/forwarding/upstream_directory.h
+++ b/include/rosemarydrum/forwarding/upstream_directory.h
@@ -18,9 +18,6 @@
 /// has been forgotten.
 enum class upstream_index : std::uint32_t {};
 
-/// Maximum lifetime of a flow. Removed upstreams stay known for this long.
-inline constexpr seconds default_flow_lifetime{60};
-
 enum class listing : std::uint8_t {
   listed,
   /// The entry cannot be decoded; established flows continue.
@@ -57,6 +54,7 @@
 /// one with the highest revision wins.
 class upstream_directory {
  public:
+  /// Removed upstreams stay known for the lifetime of a flow.
   explicit upstream_directory(duration flow_lifetime = default_flow_lifetime);
 
   /// Applies a change and returns its upstream. Returns nullopt if the known
@@ -81,8 +79,13 @@
   }
 
   std::optional<upstream_index> find(upstream_key key) const;
-  /// Returns the upstream of flows with this tag.
+  /// Returns the upstream of flows with this tag, which may be an opening tag.
   std::optional<upstream_index> find(upstream_tag tag) const;
+  /// Returns the tag of opening packets to the upstream. It shows that the
+  /// upstream was sent one, but not that it holds the flow. Equals the
+  /// upstream's tag if another upstream has the opening tag as its own.
+  upstream_tag opening_tag(upstream_index index) const;
+  bool is_opening_tag(upstream_tag tag) const;
   const known_upstream& at(upstream_index index) const {
     return *upstreams_[value_of(index)];
   }
--- /dev/null
+++ b/include/rosemarydrum/spread/member_history.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <vector>
+
+#include "rosemarydrum/forwarding/flow_record.h"
+
+namespace rosemarydrum {
+
+/// What a member has seen and the store does not tell, for a process that
+/// starts.
+struct member_history {
+  std::vector<flow_record> flows;
+
+  friend bool operator==(const member_history&,
+                         const member_history&) = default;
+};
+
+}  // namespace rosemarydrum
--- a/include/rosemarydrum/spread/replica_spread.h
+++ b/include/rosemarydrum/spread/replica_spread.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "rosemarydrum/forwarding/flow_packet.h"
 #include "rosemarydrum/spread/member_record.h"
 #include "rosemarydrum/spread/reader_choice.h"
 #include "rosemarydrum/spread/spread_message.h"
@@ -25,6 +26,8 @@
   /// age.
   milliseconds max_age{3000};
   std::uint64_t seed = 1;
+  /// Maximum lifetime of a flow.
+  duration flow_lifetime = default_flow_lifetime;
 };
 
 /// Keeps an item_replica up to date with few calls to the store. In each data
@@ -81,6 +84,9 @@
   spread_message make_message(decltype(spread_message::body) body) const;
   /// Returns the other members of this data centre.
   std::vector<endpoint> data_centre_peers() const;
+  /// Returns the members that may get this process's flows: those of this data
+  /// centre, and some of others, which serve it if none of it is left.
+  std::vector<endpoint> flow_peers();
   /// Returns the member that reads the store for this one; nullopt if none is
   /// known.
   std::optional<endpoint> reader(time_point now) const;
--- a/include/rosemarydrum/spread/spread_message.h
+++ b/include/rosemarydrum/spread/spread_message.h
@@ -7,6 +7,8 @@
 
 #include "rosemarydrum/requests/packet.h"
 #include "rosemarydrum/spread/failure_report.h"
+#include "rosemarydrum/spread/flow_record_report.h"
+#include "rosemarydrum/spread/member_history.h"
 #include "rosemarydrum/store/item_replica.h"
 #include "rosemarydrum/types.h"
 
@@ -23,6 +25,8 @@
   /// of the message.
   milliseconds age{0};
   item_listing listing;
+  /// Only in answers to processes that start.
+  std::optional<member_history> history;
 };
 
 /// Requests a bulletin of the changes after the revision of the message.
@@ -34,7 +38,7 @@
   incarnation run{};
   /// The sender knows all changes up to this revision.
   revision at{};
-  std::variant<bulletin, inquiry, failure_report> body;
+  std::variant<bulletin, inquiry, failure_report, flow_record_report> body;
   /// Set by the host on sending.
   std::uint64_t logical_time = 0;
 };
--- a/schema/spread.capnp
+++ b/schema/spread.capnp
@@ -24,6 +24,21 @@
   stalled @3 :UInt32;
 }
 
+struct FlowRecord {
+  callerAddress @0 :UInt32;
+  callerPort @1 :UInt16;
+  serviceAddress @2 :UInt32;
+  servicePort @3 :UInt16;
+  opening @4 :Bool;
+  upstream @5 :UInt64;
+  ageMs @6 :UInt32;
+}
+
+# What the sender has seen and the store does not tell.
+struct MemberHistory {
+  flows @0 :List(FlowRecord);
+}
+
 struct SpreadMessage {
   sender @0 :Text;
   run @1 :UInt64;
@@ -45,9 +60,12 @@
       bridgeEra @17 :UInt64;
       # Where the sender has entered the era of `shownAt`.
       eraStart @18 :UInt64;
+      # Only in answers to processes that start.
+      history @19 :MemberHistory;
     }
     inquiry @9 :Void;
     failures @12 :List(ReportedFailures);
+    flows @20 :List(FlowRecord);
   }
   # Lamport clock of the sender.
   logicalTime @10 :UInt64;
--- a/src/events/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -268,6 +268,11 @@
      "it has been answered.",
      "request flow upstream service waited_us configuration era revision "
      "age_ms"},
+    {flow_retagged, "flow_retagged", info,
+     "The opening packet of a flow that is open at `upstream` was sent once "
+     "more to `other`, which was tried as well: a late answer of it now "
+     "carries the tag of the flow's upstream.",
+     "flow upstream other attempts configuration era revision age_ms"},
     {service_unable, "service_unable", warning,
      "Nearly all of the latest new flows have failed; this process reports "
      "itself not ready for `pause_ms`.",
--- a/src/forwarding/fleet_agent.cc
+++ b/src/forwarding/fleet_agent.cc
@@ -32,6 +32,7 @@
                }),
       spread_(settings, replica_, now),
       failures_(settings.run),
+      flows_(settings.flow_lifetime),
       follower_(store, replica_,
                 {.watch_wait = settings.max_age * watch_wait_percent / 100},
                 {[this](const item_listing& items, time_point asked) {
@@ -59,9 +60,11 @@
   update_registration(now);
   carry_out(out);
   send_failures(now);
+  send_flow_records(now);
   if (now >= next_sweep_) {
     next_sweep_ = now + sweep_interval;
     replica_.tick(now);
+    flows_.expire(now);
   }
 }
 
@@ -85,6 +88,10 @@
     host_.update(std::move(update));
     return;
   }
+  if (const auto* report = std::get_if<flow_record_report>(&message.body)) {
+    on_flow_report(*report, now);
+    return;
+  }
   spread_output out;
   spread_.on_message(from, message, now, out);
   carry_out(out);
@@ -92,6 +99,10 @@
 
 void fleet_agent::on_fetched(const std::optional<spread_message>& answer,
                              time_point now) {
+  const auto* body = answer ? std::get_if<bulletin>(&answer->body) : nullptr;
+  if (body != nullptr && body->history) {
+    on_flow_report({body->history->flows}, now);
+  }
   spread_output out;
   spread_.on_fetched(answer, now, out);
   carry_out(out);
@@ -117,6 +128,27 @@
   }
 }
 
+void fleet_agent::on_flow_records(const std::vector<flow_record>& records,
+                                  time_point now) {
+  flows_.add(records, now);
+  send_flow_records(now);
+}
+
+void fleet_agent::send_flow_records(time_point now) {
+  if (auto report = flows_.take(now)) {
+    host_.send(
+        {spread_.flow_peers(), spread_.make_message(std::move(*report))});
+  }
+}
+
+void fleet_agent::on_flow_report(const flow_record_report& report,
+                                 time_point now) {
+  flows_.on_report(report, now);
+  auto update = update_without_changes();
+  update.flows = report.records;
+  host_.update(std::move(update));
+}
+
 fleet_update fleet_agent::update_without_changes() const {
   fleet_update update;
   update.known_revision = replica_.at();
@@ -143,7 +175,9 @@
 }
 
 spread_message fleet_agent::unlisted_items(time_point now) const {
-  return spread_.unlisted_items(now);
+  auto message = spread_.unlisted_items(now);
+  std::get<bulletin>(message.body).history = {flows_.all(now)};
+  return message;
 }
 
 void fleet_agent::on_listing(const item_listing& items, time_point asked) {
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -12,7 +12,8 @@
       directory_(settings_.flow_lifetime),
       placement_({settings_.name, settings_.data_centre, settings_.cold_factor,
                   settings_.cold_extra, settings_.seed},
-                 directory_) {}
+                 directory_),
+      records_(settings_.flow_lifetime) {}
 
 packet_verdict forwarder::on_packet(const flow_packet& packet, time_point now) {
   if (!routes_.is_known()) {
@@ -57,10 +58,7 @@
   }
   auto* flow = flows_.find(packet.flow);
   const bool is_open = flow != nullptr && flow->stage != flow_stage::opening;
-  // If the opening packet was repeated, a late answer may change the tag that
-  // the caller sends. The upstream of the first tag is kept.
-  const auto upstream =
-      is_open ? std::optional(flow->upstream) : directory_.find(packet.tag);
+  const auto upstream = upstream_of(packet, flow, now);
   if (!upstream) {
     return discard(packet, verdict_reason::unknown_tag, now);
   }
@@ -77,6 +75,10 @@
   if (flow->stage == flow_stage::opening) {
     flow->progress.open(packet.acknowledged);
     mark_open(*flow, *upstream, now);
+    on_first_tag(*flow, packet.tag, now);
+  }
+  if (is_open) {
+    on_other_tag(*flow, packet.tag, now);
   }
   const bool was_waiting = flow->progress.is_waiting();
   on_progress(*flow, packet, now);
@@ -117,7 +119,6 @@
   set_load(flow, flow_load::active);
   check_idle_later(flow, now);
   flow.stage = flow_stage::open;
-  flow.opening = {};
   flow.opened_at = now;
   if (!flow.was_placed_here()) {
     return;
--- a/src/forwarding/forwarder_openings.cc
+++ b/src/forwarding/forwarder_openings.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "rosemarydrum/forwarding/forwarder.h"
@@ -23,6 +24,9 @@
   const bool is_retransmission =
       flow != nullptr && flow->stage == flow_stage::opening;
   if (!is_retransmission) {
+    if (const auto upstream = opened_elsewhere(packet.flow, now)) {
+      return to_upstream(*upstream, verdict_reason::established);
+    }
     if (flow != nullptr) {
       // The caller uses the port of an earlier flow again.
       set_load(*flow, flow_load::none);
@@ -31,6 +35,12 @@
     if (flow == nullptr) {
       return refuse(packet, verdict_reason::no_upstream, now);
     }
+    if (packet.acknowledged > 0) {
+      // The first transmission went to another forwarder, which may have sent
+      // it to an upstream.
+      flow->is_shared = true;
+      tell_others(*flow, flow_record_kind::opening, now);
+    }
   }
   flow->last_packet = now;
   flow->opening.assign(packet.datagram.begin(), packet.datagram.end());
@@ -78,6 +88,11 @@
                        chosen->reason != placement_reason::least_loaded, now);
   flow.stage = flow_stage::opening;
   flow.upstream = chosen->upstream;
+  const auto key = directory_.at(chosen->upstream).record.key;
+  if (std::find(flow.tried.begin(), flow.tried.end(), key) ==
+      flow.tried.end()) {
+    flow.tried.push_back(key);
+  }
   flow.load = flow_load::active;
   flow.choice = *chosen;
   flow.route = matched_route->name;
@@ -85,7 +100,9 @@
   flow.sent_at = now;
   ++flow.attempts;
   handshake_deadlines_.push_back({now + handshake_timeout, flow.ends, now});
-  return to_upstream(chosen->upstream, verdict_reason::placed);
+  auto verdict = to_upstream(chosen->upstream, verdict_reason::placed);
+  verdict.tag = directory_.opening_tag(chosen->upstream);
+  return verdict;
 }
 
 std::optional<packet_verdict> forwarder::place_again(open_flow& flow,
--- a/src/forwarding/forwarder_updates.cc
+++ b/src/forwarding/forwarder_updates.cc
@@ -40,6 +40,9 @@
   for (const auto& change : update.changes) {
     on_change(change, now);
   }
+  for (const auto& record : update.flows) {
+    on_flow_record(record, now);
+  }
   for (const auto& [reporter, failures] : update.failures) {
     if (const auto index = directory_.find(failures.upstream)) {
       on_failures(*index, failures.count, now);
@@ -139,6 +142,7 @@
     // Their health is also out of date, because none has been tried since.
     placement_.reset_handshake_health();
   }
+  records_.expire(now);
   directory_.forget_gone(now, [this](upstream_index index) {
     flows_.erase_if(
         [index](const open_flow& flow) { return flow.upstream == index; });
--- a/src/forwarding/upstream_directory.cc
+++ b/src/forwarding/upstream_directory.cc
@@ -7,6 +7,8 @@
 
 /// Keys up to this are their own tag; greater ones are hashed to 32 bits.
 constexpr std::uint64_t max_unhashed_key = 0xffff'ffff;
+/// The bit in which an upstream's opening tag differs from its tag.
+constexpr std::uint32_t opening_bit = 0x8000'0000;
 
 }  // namespace
 
@@ -68,11 +70,26 @@
 }
 
 std::optional<upstream_index> upstream_directory::find(upstream_tag tag) const {
-  const auto found = by_tag_.find(value_of(tag));
+  auto found = by_tag_.find(value_of(tag));
+  if (found == by_tag_.end()) {
+    found = by_tag_.find(value_of(tag) ^ opening_bit);
+  }
   return found == by_tag_.end() ? std::nullopt
                                 : std::optional(found->second.front());
 }
 
+upstream_tag upstream_directory::opening_tag(upstream_index index) const {
+  const auto tag = at(index).tag;
+  const auto opening = value_of(tag) ^ opening_bit;
+  return opening == 0 || by_tag_.contains(opening) ? tag
+                                                   : upstream_tag(opening);
+}
+
+bool upstream_directory::is_opening_tag(upstream_tag tag) const {
+  return !by_tag_.contains(value_of(tag)) &&
+         by_tag_.contains(value_of(tag) ^ opening_bit);
+}
+
 std::span<const upstream_index> upstream_directory::of_service(
     const std::string& service) const {
   const auto found = by_service_.find(service);
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -1,6 +1,7 @@
 #include "rosemarydrum/spread/replica_spread.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "listing_parts.h"
@@ -24,6 +25,8 @@
 constexpr std::size_t max_answer_datagrams = 4;
 /// A link of 10 Mbit/s transfers a page of this size in about 50 ms.
 constexpr std::size_t max_page_bytes = 64 << 10;
+/// Members of other data centres that are told of a flow.
+constexpr std::size_t max_remote_flow_peers = 8;
 
 }  // namespace
 
@@ -249,6 +252,19 @@
   return member == nullptr ? std::nullopt : std::optional(member->address);
 }
 
+std::vector<endpoint> replica_spread::flow_peers() {
+  std::vector<endpoint> remote;
+  for (const auto& [name, member] : members_) {
+    if (member.data_centre != settings_.self.data_centre) {
+      remote.push_back(member.address);
+    }
+  }
+  auto to = data_centre_peers();
+  std::sample(remote.begin(), remote.end(), std::back_inserter(to),
+              max_remote_flow_peers, random_);
+  return to;
+}
+
 std::vector<endpoint> replica_spread::data_centre_peers() const {
   std::vector<endpoint> to;
   for (const auto& [name, member] : members_) {
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -33,6 +33,43 @@
           from.getRestored()};
 }
 
+void write(const std::vector<flow_record>& records,
+           capnp::List<wire::FlowRecord>::Builder to) {
+  for (unsigned i = 0; i < to.size(); ++i) {
+    const auto& from = records[i];
+    to[i].setCallerAddress(from.flow.caller.address);
+    to[i].setCallerPort(from.flow.caller.port);
+    to[i].setServiceAddress(from.flow.service.address);
+    to[i].setServicePort(from.flow.service.port);
+    to[i].setOpening(from.kind == flow_record_kind::opening);
+    to[i].setUpstream(value_of(from.upstream));
+    to[i].setAgeMs(static_cast<std::uint32_t>(from.age.count()));
+  }
+}
+
+std::vector<flow_record> read(capnp::List<wire::FlowRecord>::Reader from) {
+  std::vector<flow_record> records;
+  records.reserve(from.size());
+  for (const auto each : from) {
+    records.push_back(
+        {{{each.getCallerAddress(), each.getCallerPort()},
+          {each.getServiceAddress(), each.getServicePort()}},
+         each.getOpening() ? flow_record_kind::opening : flow_record_kind::open,
+         upstream_key(each.getUpstream()),
+         milliseconds(each.getAgeMs())});
+  }
+  return records;
+}
+
+void write(const member_history& history, wire::MemberHistory::Builder to) {
+  write(history.flows,
+        to.initFlows(static_cast<unsigned>(history.flows.size())));
+}
+
+member_history read(wire::MemberHistory::Reader from) {
+  return {read(from.getFlows())};
+}
+
 void write(const bulletin& body,
            wire::SpreadMessage::Kind::Bulletin::Builder to) {
   to.setReading(body.reading);
@@ -50,6 +87,9 @@
   for (unsigned i = 0; i < items.size(); ++i) {
     write(body.listing.items[i], items[i]);
   }
+  if (body.history) {
+    write(*body.history, to.initHistory());
+  }
 }
 
 bulletin read(wire::SpreadMessage::Kind::Bulletin::Reader from) {
@@ -65,6 +105,9 @@
   for (const auto item : from.getItems()) {
     body.listing.items.push_back(read(item));
   }
+  if (from.hasHistory()) {
+    body.history = read(from.getHistory());
+  }
   return body;
 }
 
@@ -104,6 +147,10 @@
     write(*body, root.getKind().initBulletin());
   } else if (const auto* report = std::get_if<failure_report>(&message.body)) {
     write(*report, root.getKind());
+  } else if (const auto* flows =
+                 std::get_if<flow_record_report>(&message.body)) {
+    write(flows->records, root.getKind().initFlows(
+                              static_cast<unsigned>(flows->records.size())));
   } else {
     root.getKind().setInquiry();
   }
@@ -129,6 +176,9 @@
           case wire::SpreadMessage::Kind::FAILURES:
             message.body = read(root.getKind().getFailures());
             return message;
+          case wire::SpreadMessage::Kind::FLOWS:
+            message.body = flow_record_report{read(root.getKind().getFlows())};
+            return message;
         }
         return std::nullopt;
       });
--- a/test/fleet/fake_callers.cc
+++ b/test/fleet/fake_callers.cc
@@ -26,6 +26,7 @@
   bool is_open = false;
   bool is_done = false;
   std::uint32_t echo = 0;
+  std::uint32_t acknowledged = 0;
 };
 
 fake_callers::fake_callers(timeline& time, callbacks to,
@@ -96,15 +97,16 @@
     case answer_kind::handshake:
       if (!std::exchange(active->is_open, true)) {
         outcomes[active->number].upstream = answer.upstream;
-        send(*active, test_packets::ack, 1, {});
-        send(*active, test_packets::ack, 1,
+        active->acknowledged = answer.sequence + 1;
+        send(*active, test_packets::ack, active->acknowledged, {});
+        send(*active, test_packets::ack, active->acknowledged,
              "GET / HTTP/1.1\r\nHost: desk\r\nX-Request-Id: r" +
                  std::to_string(active->number) + "\r\n\r\n");
       }
       return;
     case answer_kind::response:
-      send(*active, test_packets::fin | test_packets::ack, 1 + answer.bytes,
-           {});
+      send(*active, test_packets::fin | test_packets::ack,
+           active->acknowledged + answer.bytes, {});
       finish(active, true);
       return;
     case answer_kind::reset:
--- a/test/fleet/fake_sessions.cc
+++ b/test/fleet/fake_sessions.cc
@@ -126,6 +126,7 @@
   each->echo = answer.echo;
   if (answer.kind == answer_kind::handshake) {
     if (!std::exchange(each->is_open, true)) {
+      each->acknowledged = answer.sequence + 1;
       send(*each, test_packets::ack, {});
       if (each->current >= 0) {
         send_request(each);
@@ -138,6 +139,9 @@
     each->acknowledged += answer.bytes;
     send(*each, test_packets::ack, {});
   } else if (answer.kind == answer_kind::reset) {
+    if (each->is_open) {
+      upstream_resets_.push_back(time_.now());
+    }
     by_flow_.erase(each->flow);
     open(each);
   }
@@ -168,9 +172,13 @@
       counted.served += each.served ? 1 : 0;
     }
   }
-  counted.resets = static_cast<std::size_t>(
-      std::count_if(resets_.begin(), resets_.end(),
-                    [&](auto at) { return at >= begin && at < end; }));
+  const auto count = [&](const std::vector<time_point>& times) {
+    return static_cast<std::size_t>(
+        std::count_if(times.begin(), times.end(),
+                      [&](auto at) { return at >= begin && at < end; }));
+  };
+  counted.resets = count(resets_);
+  counted.upstream_resets = count(upstream_resets_);
   return counted;
 }
 
--- a/test/fleet/fake_sessions.h
+++ b/test/fleet/fake_sessions.h
@@ -22,6 +22,8 @@
     std::size_t served = 0;
     /// Resets of open flows by the load balancer.
     std::size_t resets = 0;
+    /// Resets of open flows by upstreams.
+    std::size_t upstream_resets = 0;
   };
 
   fake_sessions(timeline& time, fake_callers::callbacks to,
@@ -58,6 +60,7 @@
   std::map<flow_ends, std::shared_ptr<session>> by_flow_;
   std::vector<outcome> outcomes_;
   std::vector<time_point> resets_;
+  std::vector<time_point> upstream_resets_;
 };
 
 }  // namespace rosemarydrum
--- a/test/fleet/fake_upstream.h
+++ b/test/fleet/fake_upstream.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
   /// Time from the receipt of the packet to the answer.
   duration delay{0};
   std::uint32_t bytes = 0;
+  /// In a handshake, the upstream's initial sequence number.
+  std::uint32_t sequence = 0;
 };
 
 /// An upstream that follows the platform's protocol: accepts packets addressed
@@ -56,21 +59,34 @@
     const auto tag = value_of(packet->tag);
     if (packet->opens) {
       openings.push_back(runtime_clock::now());
-      flows_[packet->flow] = 0;
-      return {{answer_kind::handshake, packet->flow, tag, id, duration(0), 0}};
+      auto [held, is_new] = flows_.try_emplace(packet->flow);
+      if (!is_new && loses_copies) {
+        return {};
+      }
+      if (is_new) {
+        held->second.initial_sequence = next_sequence_ += 1000;
+      }
+      held->second.echo = tag;
+      return {handshake_of(packet->flow, held->second)};
     }
-    const auto open_flow = flows_.find(packet->flow);
-    if (open_flow == flows_.end()) {
+    const auto found = flows_.find(packet->flow);
+    const bool acknowledges_another =
+        found != flows_.end() && !found->second.is_open &&
+        packet->acknowledged != found->second.initial_sequence + 1;
+    if (found == flows_.end() || acknowledges_another) {
       return {{answer_kind::reset, packet->flow, tag, id, duration(0), 0}};
     }
+    auto& held = found->second;
+    held.is_open = true;
+    held.echo = tag;
     if (packet->finishes || packet->resets) {
-      flows_.erase(open_flow);
+      flows_.erase(found);
       return {};
     }
-    if (packet->data.empty() || packet->sequence <= open_flow->second) {
+    if (packet->data.empty() || packet->sequence <= held.request_sequence) {
       return {};
     }
-    open_flow->second = packet->sequence;
+    held.request_sequence = packet->sequence;
     ++requests;
     if (fails) {
       return {{answer_kind::response, packet->flow, tag, id, duration(0),
@@ -80,6 +96,16 @@
              response_bytes}};
   }
 
+  /// Answers the opening packet once more; nullopt if the caller has opened the
+  /// flow here, or the flow is not known.
+  std::optional<upstream_answer> repeat_handshake(const flow_ends& flow) const {
+    const auto found = flows_.find(flow);
+    if (!alive || found == flows_.end() || found->second.is_open) {
+      return std::nullopt;
+    }
+    return handshake_of(flow, found->second);
+  }
+
   /// Simulates a restart at the same address: drops all flows, and is cold.
   void restart(int cold_ms) {
     flows_.clear();
@@ -117,14 +143,34 @@
   int requests = 0;
   int misaddressed = 0;
   int malformed = 0;
+  /// Number of answers to opening packets that the network loses next.
+  int handshakes_to_lose = 0;
+  /// While set, the network loses copies of opening packets on the way here.
+  bool loses_copies = false;
 
  private:
   static constexpr std::uint32_t error_response_bytes = 150;
   static constexpr std::uint32_t response_bytes = 4000;
 
+  struct held_flow {
+    std::uint32_t initial_sequence = 0;
+    /// Whether the caller has acknowledged the handshake.
+    bool is_open = false;
+    /// The tag of the latest packet.
+    std::uint32_t echo = 0;
+    /// Sequence number of the latest request.
+    std::uint32_t request_sequence = 0;
+  };
+
+  upstream_answer handshake_of(const flow_ends& flow,
+                               const held_flow& held) const {
+    return {answer_kind::handshake, flow, held.echo, id, duration(0), 0,
+            held.initial_sequence};
+  }
+
   platform::packet_codec codec_;
-  /// Sequence number of each flow's latest request.
-  std::map<flow_ends, std::uint32_t> flows_;
+  std::map<flow_ends, held_flow> flows_;
+  std::uint32_t next_sequence_ = static_cast<std::uint32_t>(key);
 };
 
 }  // namespace rosemarydrum
--- a/test/fleet/simulated_fleet.cc
+++ b/test/fleet/simulated_fleet.cc
@@ -15,6 +15,10 @@
 constexpr milliseconds fetch_deadline{1500};
 constexpr std::uint16_t peer_port = 7700;
 constexpr std::size_t max_seeds = 3;
+/// Upstreams repeat an unanswered handshake, each time after twice the wait.
+constexpr milliseconds first_handshake_wait{200};
+constexpr milliseconds max_handshake_wait{1600};
+constexpr int max_handshake_copies = 8;
 constexpr std::uint32_t first_session_address = 0x64410001;
 
 }  // namespace
@@ -331,15 +335,45 @@
     clock.after(is_local ? local_delay : remote_delay,
                 [this, to = upstream.get(), sent] {
                   for (const auto& each : to->take(sent)) {
-                    clock.after(each.delay + caller_delay, [this, each] {
-                      callers.on_answer(each);
-                      sessions.on_answer(each);
-                    });
+                    answer(*to, each);
                   }
                 });
   }
 }
 
+void simulated_fleet::answer(fake_upstream& from, const upstream_answer& sent) {
+  if (sent.kind == answer_kind::handshake) {
+    repeat_handshake_after(first_handshake_wait, 1, from, sent.flow);
+    if (from.handshakes_to_lose > 0) {
+      --from.handshakes_to_lose;
+      return;
+    }
+  }
+  clock.after(sent.delay + caller_delay, [this, sent] {
+    callers.on_answer(sent);
+    sessions.on_answer(sent);
+  });
+}
+
+void simulated_fleet::repeat_handshake_after(duration wait, int copy,
+                                             fake_upstream& from,
+                                             const flow_ends& flow) {
+  clock.after(wait, [this, wait, copy, &from, flow] {
+    const auto repeated = from.repeat_handshake(flow);
+    if (!repeated) {
+      return;
+    }
+    clock.after(caller_delay, [this, sent = *repeated] {
+      callers.on_answer(sent);
+      sessions.on_answer(sent);
+    });
+    if (copy < max_handshake_copies) {
+      repeat_handshake_after(std::min<duration>(wait * 2, max_handshake_wait),
+                             copy + 1, from, flow);
+    }
+  });
+}
+
 void simulated_fleet::load(double per_second, duration time) {
   const auto interval = duration(static_cast<duration::rep>(1e6 / per_second));
   for (duration at{0}; at < time; at += interval) {
--- a/test/fleet/simulated_fleet.h
+++ b/test/fleet/simulated_fleet.h
@@ -98,6 +98,9 @@
   void deliver(test_node& node, const flow_ends& flow, const bytes& datagram);
   void forward(const std::string& from_centre, const packet_verdict& verdict,
                const bytes& datagram);
+  void answer(fake_upstream& from, const upstream_answer& sent);
+  void repeat_handshake_after(duration wait, int copy, fake_upstream& from,
+                              const flow_ends& flow);
   void reset(const flow_ends& flow);
   void schedule_tick(test_node& node);
   void send(const test_node& from, const spread_datagram& datagram);
--- a/test/fleet/test_node.h
+++ b/test/fleet/test_node.h
@@ -48,6 +48,7 @@
     }
     last_tick_ = now;
     agent_.on_failures(packet_forwarder_.take_failures());
+    agent_.on_flow_records(packet_forwarder_.take_flow_records(), now);
     agent_.tick(now);
     send_due_packets(now);
     packet_forwarder_.tick(now);
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -50,6 +50,160 @@
   BOOST_CHECK(send_next(1, first, at(80)).upstream == second.upstream);
 }
 
+upstream_tag tag_of(const packet_verdict& verdict) {
+  return upstream_directory::tag_of(verdict.upstream);
+}
+
+// FLOW: guards against a late answer of another upstream that leaves its tag
+// with the caller, whose next packet then goes to it after a restart.
+BOOST_FIXTURE_TEST_CASE(late_answers_name_the_upstream_of_the_flow,
+                        forwarder_fixture) {
+  add(1);
+  add(2);
+  const auto first = open(1, start);
+  const auto second = tested.due_packets(false, at(60))[0].verdict;
+  send_next(1, second, at(70));
+  const auto told = tested.due_packets(false, at(70));
+  BOOST_REQUIRE_EQUAL(told.size(), 1U);
+  BOOST_CHECK(told[0].verdict.upstream == first.upstream);
+  BOOST_CHECK(told[0].verdict.to == first.to);
+  BOOST_CHECK(told[0].verdict.tag == tag_of(second));
+  BOOST_CHECK(told[0].datagram == datagram_of({flow_of(1)}));
+  // The packet was lost: the caller has the tag of the late answer.
+  send_next(1, first, at(300));
+  const auto again = tested.due_packets(false, at(300));
+  BOOST_REQUIRE_EQUAL(again.size(), 1U);
+  BOOST_CHECK(again[0].verdict.upstream == first.upstream);
+  BOOST_CHECK(again[0].verdict.tag == tag_of(second));
+  send_next(1, second, at(600));
+  BOOST_CHECK(tested.due_packets(false, at(600)).empty());
+}
+
+/// Passes what one forwarder tells of flows to another one.
+void tell(forwarder& from, forwarder& to, time_point now) {
+  fleet_update update;
+  update.confirmed_at = now;
+  update.flows = from.take_flow_records();
+  to.on_update(update, now);
+}
+
+/// Two forwarders with the same upstreams; the second one sees the copies.
+struct two_forwarders : forwarder_fixture {
+  two_forwarders() {
+    for (std::uint64_t key = 1; key <= 4; ++key) {
+      add(key);
+      other.add(key);
+    }
+  }
+  forwarder_fixture other;
+};
+
+// FLOW: guards against a copy of an opening packet that another forwarder sends
+// to another upstream, so that the upstream of the first one answers late.
+BOOST_FIXTURE_TEST_CASE(copies_elsewhere_are_told_to_the_first_forwarder,
+                        two_forwarders) {
+  const auto first = open(1, start);
+  auto second = other.receive({flow_of(1), syn, 7, 1}, at(50));
+  while (second.upstream == first.upstream) {
+    second = other.receive({flow_of(1), syn, 7, 2}, at(51));
+  }
+  tell(other.tested, tested, at(51));
+  other.send_next(1, second, at(56));
+  tell(other.tested, tested, at(57));
+  const auto told = tested.due_packets(false, at(57));
+  BOOST_REQUIRE_EQUAL(told.size(), 1U);
+  BOOST_CHECK(told[0].verdict.upstream == first.upstream);
+  BOOST_CHECK(told[0].verdict.tag == tag_of(second));
+  BOOST_CHECK(send_next(1, first, at(300)).upstream == second.upstream);
+}
+
+// FLOW: guards against a forwarder that has sent a copy of an opening packet
+// and does not learn that the flow was opened through the first one.
+BOOST_FIXTURE_TEST_CASE(the_first_forwarder_tells_of_an_open_flow,
+                        two_forwarders) {
+  const auto first = open(1, start);
+  send_next(1, first, at(10));
+  auto second = other.receive({flow_of(1), syn, 7, 1}, at(50));
+  while (second.upstream == first.upstream) {
+    second = other.receive({flow_of(1), syn, 7, 2}, at(51));
+  }
+  tell(other.tested, tested, at(55));
+  tell(tested, other.tested, at(56));
+  const auto told = other.tested.due_packets(false, at(56));
+  BOOST_REQUIRE_EQUAL(told.size(), 1U);
+  BOOST_CHECK(told[0].verdict.tag == tag_of(first));
+  BOOST_CHECK(other.send_next(1, second, at(300)).upstream == first.upstream);
+}
+
+// FLOW: guards against a forwarder without any memory of a flow that goes by
+// the tag of a late answer, and against the record of an earlier flow of its
+// ends.
+BOOST_FIXTURE_TEST_CASE(records_of_other_forwarders_go_before_the_tag,
+                        two_forwarders) {
+  const auto first = open(1, start);
+  const auto second = tested.due_packets(false, at(60))[0].verdict;
+  send_next(1, second, at(70));
+  tell(tested, other.tested, at(71));
+  BOOST_CHECK(other.send_next(1, first, at(80)).upstream == second.upstream);
+  // A delayed copy of the opening packet.
+  tell(tested, other.tested, at(90));
+  forwarder_fixture third;
+  for (std::uint64_t key = 1; key <= 4; ++key) {
+    third.add(key);
+  }
+  send_next(1, second, at(100));
+  fleet_update update;
+  update.flows = {{flow_of(1), flow_record_kind::open, second.upstream, {}}};
+  third.tested.on_update(update, at(100));
+  BOOST_CHECK(third.receive({flow_of(1), syn, 7, 1}, at(200)).upstream ==
+              second.upstream);
+  // The caller uses the port again.
+  const auto later = third.open(1, at(30'000));
+  BOOST_CHECK(later.reason == verdict_reason::placed);
+  const auto records = third.tested.take_flow_records();
+  BOOST_REQUIRE_EQUAL(records.size(), 1U);
+  BOOST_CHECK(records[0].kind == flow_record_kind::opening);
+}
+
+// FLOW: guards against a forwarder that repeats an opening packet because the
+// caller's next packets go to another one.
+BOOST_FIXTURE_TEST_CASE(flows_that_move_are_not_opened_again, two_forwarders) {
+  const auto first = open(1, start);
+  const auto moved = other.send_next(1, first, at(10));
+  BOOST_CHECK(moved.upstream == first.upstream);
+  BOOST_CHECK(moved.tag == tag_of(first));
+  tell(other.tested, tested, at(12));
+  BOOST_CHECK(tested.due_packets(false, at(100)).empty());
+  BOOST_CHECK_EQUAL(observer.handshakes, 1);
+  BOOST_CHECK(observer.causes.empty());
+  // Later packets of flows that move are not announced.
+  BOOST_CHECK(send_next(2, moved, at(20)).upstream == first.upstream);
+  BOOST_CHECK(tested.take_flow_records().empty());
+}
+
+// Guards against opening packets to upstreams that take no flows any more, and
+// against many packets to others than the flow's upstream.
+BOOST_FIXTURE_TEST_CASE(few_upstreams_are_told_of_a_flow, forwarder_fixture) {
+  for (std::uint64_t key = 1; key <= 6; ++key) {
+    add(key);
+  }
+  open(1, start);
+  tested.due_packets(false, at(60));
+  tested.due_packets(false, at(120));
+  receive({flow_of(1), syn, 7, 1}, at(200));
+  const auto last = tested.due_packets(false, at(260));
+  BOOST_REQUIRE_EQUAL(last.size(), 1U);
+  send_next(1, last[0].verdict, at(270));
+  BOOST_CHECK_EQUAL(tested.due_packets(false, at(270)).size(),
+                    max_retagged_upstreams);
+  const auto other = open(2, at(300));
+  const auto repeated = tested.due_packets(false, at(360));
+  BOOST_REQUIRE_EQUAL(repeated.size(), 1U);
+  add(value_of(other.upstream), record_state::removed);
+  send_next(2, repeated[0].verdict, at(370));
+  BOOST_CHECK(tested.due_packets(false, at(370)).empty());
+}
+
 // Guards against callers that lose 200 ms until their own retransmission when
 // an upstream does not answer, and against repeats to the same upstream.
 BOOST_FIXTURE_TEST_CASE(unanswered_openings_are_repeated_elsewhere,
--- a/test/journal-test.cc
+++ b/test/journal-test.cc
@@ -66,6 +66,10 @@
        f.flows.on_placed_again(f.flow, f.upstream, f.upstream, seconds(1),
                                repeat_cause::timeout, now());
      }},
+    {event_id::flow_retagged,
+     [](fixture& f) {
+       f.flows.on_retagged(f.flow, f.upstream, f.upstream, now());
+     }},
     {event_id::flow_refused,
      [](fixture& f) {
        f.flows.on_refused(f.packet, verdict_reason::no_upstream, "r-1", "desk",
--- a/test/long_flows-test.cc
+++ b/test/long_flows-test.cc
@@ -84,6 +84,99 @@
   BOOST_CHECK_EQUAL(sessions.counts(begin, clock.now()).resets, 0U);
 }
 
+/// Callers whose flows are idle for ten seconds after their opening. The first
+/// answers of all upstreams to opening packets are lost and come again later.
+struct fleet_of_late_answers : three_data_centres {
+  static constexpr seconds pause{10};
+
+  void open_flows(bool loses_copies) {
+    for (auto& [hex_id, upstream] : upstreams) {
+      upstream->handshakes_to_lose = 4;
+      upstream->loses_copies = loses_copies;
+    }
+    for (const std::string centre : {"north", "centre", "south"}) {
+      for (int i = 0; i < 20; ++i) {
+        clock.after(milliseconds(50 * i), [this, centre] {
+          sessions.start(centre, test_packets::default_service, true, pause,
+                         seconds(25));
+        });
+      }
+    }
+  }
+  void restart_all(bool planned) {
+    for (const std::string name :
+         {"north-1", "centre-2", "south-1", "north-2", "centre-1", "south-2"}) {
+      if (planned) {
+        nodes.at(name)->leave();
+        run_for(milliseconds(900));
+      }
+      kill(name);
+      run_for(milliseconds(400));
+      restart(name);
+      run_for(milliseconds(planned ? 200 : 1100));
+    }
+  }
+  void check(time_point began) {
+    const auto counted = sessions.counts(began, clock.now());
+    BOOST_CHECK_GT(counted.sent, 100U);
+    BOOST_CHECK_EQUAL(counted.upstream_resets, 0U);
+    BOOST_CHECK_EQUAL(counted.resets, 0U);
+  }
+};
+
+// FLOW: guards against an upstream that answers an opening packet late and
+// leaves its tag with the caller, whose next packet then goes to it.
+BOOST_FIXTURE_TEST_CASE(late_answers_reset_nothing_after_planned_restarts,
+                        fleet_of_late_answers) {
+  const auto began = clock.now();
+  open_flows(false);
+  run_for(seconds(2));
+  restart_all(true);
+  run_for(seconds(18));
+  check(began);
+}
+
+// FLOW: the same after kills.
+BOOST_FIXTURE_TEST_CASE(late_answers_reset_nothing_after_kills,
+                        fleet_of_late_answers) {
+  const auto began = clock.now();
+  open_flows(false);
+  run_for(seconds(2));
+  restart_all(false);
+  run_for(seconds(18));
+  check(began);
+}
+
+// FLOW: guards against a restarted forwarder that does not know which upstream
+// holds a flow, if the upstream that answers late did not get the flow's tag.
+BOOST_FIXTURE_TEST_CASE(restarted_forwarders_know_the_upstreams_of_flows,
+                        fleet_of_late_answers) {
+  const auto began = clock.now();
+  open_flows(true);
+  run_for(seconds(2));
+  restart_all(true);
+  run_for(seconds(18));
+  check(began);
+}
+
+// FLOW: guards against flows that only the killed forwarders knew.
+BOOST_FIXTURE_TEST_CASE(all_forwarders_may_be_killed_beside_late_answers,
+                        fleet_of_late_answers) {
+  const auto began = clock.now();
+  open_flows(false);
+  run_for(seconds(2));
+  for (auto& [name, node] : nodes) {
+    kill(name);
+  }
+  run_for(milliseconds(400));
+  for (const std::string name :
+       {"north-1", "north-2", "centre-1", "centre-2", "south-1", "south-2"}) {
+    restart(name);
+  }
+  run_for(seconds(25));
+  check(began);
+}
+
 // Guards against resets because a forwarder was killed or stood still.
 BOOST_FIXTURE_TEST_CASE(failures_of_forwarders_reset_nothing,
                         fleet_of_sessions) {
--- a/test/spread_message-test.cc
+++ b/test/spread_message-test.cc
@@ -62,6 +62,32 @@
   BOOST_CHECK(std::get<failure_report>(received->body) == report);
 }
 
+// Guards against records of flows that are not decoded as sent, and against a
+// report that exceeds a datagram.
+BOOST_AUTO_TEST_CASE(flow_records_round_trip) {
+  flow_record_report report;
+  for (std::uint32_t i = 0; i < max_reported_flows; ++i) {
+    report.records.push_back(
+        {{{~i, 0xffff}, {~i * 7, 0xfffe}},
+         i % 2 == 0 ? flow_record_kind::open : flow_record_kind::opening,
+         upstream_key(~std::uint64_t{i} * 7),
+         milliseconds(59'999)});
+  }
+  const auto encoded =
+      encode({"node-1", incarnation(5), revision(9), report, 1});
+  BOOST_CHECK_LE(encoded.size(), max_spread_datagram);
+  const auto received = decode_spread_message(encoded);
+  BOOST_REQUIRE(received);
+  BOOST_CHECK(std::get<flow_record_report>(received->body) == report);
+  bulletin answer;
+  answer.history = member_history{report.records};
+  const auto received_answer = decode_spread_message(
+      encode({"node-1", incarnation(5), revision(9), answer, 1}));
+  BOOST_REQUIRE(received_answer);
+  BOOST_CHECK(std::get<bulletin>(received_answer->body).history ==
+              answer.history);
+}
+
 // Guards against a crash on malformed datagrams: random bytes, and messages
 // with random changes.
 BOOST_AUTO_TEST_CASE(random_datagrams_do_not_crash) {
--- a/test/upstream_directory-test.cc
+++ b/test/upstream_directory-test.cc
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "fleet/directory_fixture.h"
+
 namespace rosemarydrum {
 namespace {
 
@@ -132,6 +134,26 @@
   BOOST_CHECK_EQUAL(directory.of_service("vault").size(), 1U);
 }
 
+// FLOW: guards against opening tags that cannot be told from tags, or that are
+// another upstream's tag.
+BOOST_AUTO_TEST_CASE(opening_tags_are_told_from_tags) {
+  directory_fixture fixture;
+  const auto one = fixture.add(7, "north");
+  const auto tag = fixture.directory.at(one).tag;
+  const auto opening = fixture.directory.opening_tag(one);
+  BOOST_CHECK(opening != tag);
+  BOOST_CHECK(fixture.directory.find(opening) == one);
+  BOOST_CHECK(fixture.directory.is_opening_tag(opening));
+  BOOST_CHECK(!fixture.directory.is_opening_tag(tag));
+  const auto other = fixture.add(value_of(opening), "north");
+  BOOST_CHECK(fixture.directory.find(opening) == other);
+  BOOST_CHECK(!fixture.directory.is_opening_tag(opening));
+  BOOST_CHECK(fixture.directory.opening_tag(one) == tag);
+  const auto no_tag = fixture.add(0x8000'0000, "north");
+  BOOST_CHECK(fixture.directory.opening_tag(no_tag) ==
+              fixture.directory.at(no_tag).tag);
+}
+
 // Guards against the tag 0, which means that a packet has no tag.
 BOOST_AUTO_TEST_CASE(tags_are_never_zero) {
   BOOST_CHECK(upstream_directory::tag_of(upstream_key(0)) != upstream_tag{});
