Reset an open flow only with a configuration later than the flow

No configuration dropped the route.

Cause: a reset is final for an open flow, and was given from a state older than the flow. Opening packets in the same state were dropped.

Change: updates tell since when the configuration in effect is the latest one: not while a later one is only announced, cannot be decoded or may have been lost by a restored store. An open flow without a known route goes on by its tag, and is reset when a configuration later than its first packet is confirmed and still lacks the route. Opening packets that no upstream can take are refused only from a state that was confirmed lately.

--- a/apps/forwarder/forwarder_daemon.cc
+++ b/apps/forwarder/forwarder_daemon.cc
@@ -40,22 +40,23 @@
   return socket;
 }
 
+milliseconds max_age(const forwarder_options& options) {
+  return std::min({options.configuration_bound, options.drain_bound,
+                   options.data_centre_bound});
+}
+
 forwarder_settings core_settings(const forwarder_options& options) {
   constexpr double thousandths = 1000.0;
   return {options.name,
           options.data_centre,
           options.flow_lifetime,
           options.data_centre_bound,
+          max_age(options) / 2,
           options.cold_factor / thousandths,
           static_cast<double>(options.cold_extra),
           random_number()};
 }
 
-milliseconds max_age(const forwarder_options& options) {
-  return std::min({options.configuration_bound, options.drain_bound,
-                   options.data_centre_bound});
-}
-
 /// Returns the peer endpoints of the other instances. All forwarders use the
 /// same peer port.
 std::vector<endpoint> peer_endpoints(const forwarder_options& options) {
--- a/include/rosemarydrum/forwarding/fleet_agent.h
+++ b/include/rosemarydrum/forwarding/fleet_agent.h
@@ -103,6 +103,7 @@
   void report_kept(time_point now);
   /// Whether a change does not put an older configuration in effect.
   bool is_current(const fleet_change& change, time_point now);
+  void confirm_configuration();
   void send_failures(time_point now);
   void send_flow_records(time_point now);
   void on_flow_report(const flow_record_report& report, time_point now);
@@ -126,6 +127,9 @@
   time_point next_update_;
   std::uint64_t sent_members_version_ = 0;
   std::uint64_t configuration_ = 0;
+  /// The latest configuration cannot be decoded.
+  bool is_configuration_rejected_ = false;
+  time_point configuration_confirmed_at_;
   bool was_fresh_ = false;
   bool has_been_fresh_ = false;
   bool was_registered_ = false;
--- a/include/rosemarydrum/forwarding/fleet_update.h
+++ b/include/rosemarydrum/forwarding/fleet_update.h
@@ -28,6 +28,8 @@
   /// newer at `confirmed_at`.
   revision known_revision{};
   time_point confirmed_at;
+  /// The configuration in effect was the latest one at this time.
+  time_point configuration_confirmed_at;
 };
 
 }  // namespace rosemarydrum
--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -31,6 +31,8 @@
   /// Packets of established flows are still forwarded for this long to a data
   /// centre that operators have taken out of service.
   milliseconds out_grace{5000};
+  /// No flow is refused if the fleet's state is older.
+  milliseconds max_state_age{1500};
   double cold_factor = 1.5;
   double cold_extra = 5;
   std::uint64_t seed = 1;
@@ -60,6 +62,9 @@
 inline constexpr milliseconds retransmission_answer_time{100};
 /// A flow without packets for this long after an answer is idle.
 inline constexpr milliseconds max_answer_gap{50};
+/// A member's message may have been under way for this long, so that what it
+/// confirms is older than it says.
+inline constexpr milliseconds confirmation_margin{1000};
 /// Callers have given up an opening packet after this time.
 inline constexpr milliseconds max_opening_time{2000};
 
@@ -120,6 +125,10 @@
   void repeat_openings(time_point now);
   packet_verdict on_opening(const flow_packet& packet, time_point now);
   packet_verdict on_established(const flow_packet& packet, time_point now);
+  bool knows_routes_at(time_point when) const;
+  bool was_route_dropped(const open_flow& flow) const;
+  void await_route(open_flow& flow);
+  void end_flows_without_route(time_point now);
   void on_end(open_flow& flow, time_point now);
   void on_progress(open_flow& flow, const flow_packet& packet, time_point now);
   void on_request(open_flow& flow, const flow_packet& packet, time_point now);
@@ -185,6 +194,10 @@
   service_ability ability_;
   route_table routes_;
   revision routes_revision_{};
+  /// `routes_` were the latest ones at this time.
+  time_point routes_confirmed_;
+  /// Open flows without a known route, in the order of their first packets.
+  std::deque<flow_deadline> flows_without_route_;
   struct data_centre_state {
     revision changed{};
     bool out = false;
--- a/include/rosemarydrum/forwarding/open_flows.h
+++ b/include/rosemarydrum/forwarding/open_flows.h
@@ -36,6 +36,11 @@
   flow_load load = flow_load::none;
   /// Whether it will be checked for being idle.
   bool idle_check_pending = false;
+  /// Whether its route was in a configuration that this process knew.
+  bool had_route = false;
+  /// Whether it will end if its route is still not known after the next
+  /// confirmation.
+  bool awaits_route = false;
   answer_progress progress;
   /// Id of the current or latest request; empty if it has none.
   std::string request;
--- a/include/rosemarydrum/store/item_replica.h
+++ b/include/rosemarydrum/store/item_replica.h
@@ -94,6 +94,11 @@
   /// Returns the item, which may be removed; nullptr if it is unknown or its
   /// removal has been dropped.
   const kv_item* find(const std::string& key) const;
+  /// Whether a version of the item has been announced whose value is missing.
+  bool is_missing(const std::string& key) const;
+  /// Whether the store may lack versions that were lost in a restore and are
+  /// not written again yet.
+  bool is_holding() const { return is_holding_; }
   /// Returns the keys whose announced value is still missing, with its
   /// revision.
   std::vector<std::pair<std::string, revision>> missing() const;
--- a/src/events/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -243,8 +243,9 @@
      "flow route upstream attempts waited_us configuration era revision "
      "age_ms"},
     {flow_discarded, "flow_discarded", warning,
-     "A packet was not sent on. `reason`: no_route, unreachable, unknown_tag, "
-     "data_centre_out, stalled, not_a_callers_packet or malformed.",
+     "A packet was not sent on. `reason`: no_route, unreachable, outdated, "
+     "unknown_tag, data_centre_out, stalled, not_a_callers_packet or "
+     "malformed.",
      "flow reason tag configuration era revision age_ms"},
     {flow_slow, "flow_slow", warning,
      "A request took longer than its route's objective from its first packet "
--- a/src/forwarding/fleet_agent.cc
+++ b/src/forwarding/fleet_agent.cc
@@ -153,6 +153,7 @@
   fleet_update update;
   update.known_revision = replica_.at();
   update.confirmed_at = replica_.confirmed_at();
+  update.configuration_confirmed_at = configuration_confirmed_at_;
   update.data_centre_peers = spread_.data_centre_peers().size();
   return update;
 }
@@ -226,6 +227,8 @@
       update.changes.push_back(std::move(*change));
     }
   }
+  confirm_configuration();
+  update.configuration_confirmed_at = configuration_confirmed_at_;
   if (spread_.members_version() != sent_members_version_) {
     sent_members_version_ = spread_.members_version();
     update.members.emplace();
@@ -249,6 +252,7 @@
   auto change = schema_.decode(item);
   if (!change) {
     if (item.key == schema_.configuration_key()) {
+      is_configuration_rejected_ = true;
       host_.on_rejected(item.changed, now);
     }
     return std::nullopt;
@@ -279,7 +283,20 @@
     return false;
   }
   configuration_ = routes->value->version;
+  is_configuration_rejected_ = false;
   return true;
 }
 
+// The replica may know that there is a later configuration without its value,
+// or not know of one that a restore has lost.
+void fleet_agent::confirm_configuration() {
+  const bool is_latest =
+      configuration_ != 0 && !is_configuration_rejected_ &&
+      !replica_.is_missing(std::string(schema_.configuration_key())) &&
+      !replica_.is_holding();
+  if (is_latest) {
+    configuration_confirmed_at_ = replica_.confirmed_at();
+  }
+}
+
 }  // namespace rosemarydrum
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -53,10 +53,13 @@
 
 packet_verdict forwarder::on_established(const flow_packet& packet,
                                          time_point now) {
-  if (routes_.find(packet.flow.service) == nullptr) {
+  auto* flow = flows_.find(packet.flow);
+  const bool has_route = routes_.find(packet.flow.service) != nullptr;
+  if (!has_route && flow != nullptr && was_route_dropped(*flow)) {
+    set_load(*flow, flow_load::none);
+    flows_.erase(packet.flow);
     return refuse(packet, verdict_reason::no_route, now);
   }
-  auto* flow = flows_.find(packet.flow);
   const bool is_open = flow != nullptr && flow->stage != flow_stage::opening;
   const auto upstream = upstream_of(packet, flow, now);
   if (!upstream) {
@@ -69,7 +72,13 @@
     flow = flows_.insert(packet.flow, now);
   }
   if (flow == nullptr) {
-    return to_upstream(*upstream, verdict_reason::established);
+    return has_route ? to_upstream(*upstream, verdict_reason::established)
+                     : discard(packet, verdict_reason::no_route, now);
+  }
+  if (has_route) {
+    flow->had_route = true;
+  } else {
+    await_route(*flow);
   }
   flow->last_packet = now;
   if (flow->stage == flow_stage::opening) {
--- a/src/forwarding/forwarder_openings.cc
+++ b/src/forwarding/forwarder_openings.cc
@@ -66,6 +66,9 @@
       placement_.count_upstreams(target->service, now).unreachable > 0) {
     return discard(packet, verdict_reason::unreachable, now);
   }
+  if (now - confirmed_ >= settings_.max_state_age) {
+    return discard(packet, verdict_reason::outdated, now);
+  }
   return refuse(packet, verdict_reason::no_upstream, now);
 }
 
@@ -95,6 +98,7 @@
   }
   flow.load = flow_load::active;
   flow.choice = *chosen;
+  flow.had_route = true;
   flow.route = matched_route->name;
   flow.objective = matched_route->objective;
   flow.sent_at = now;
--- a/src/forwarding/forwarder_updates.cc
+++ b/src/forwarding/forwarder_updates.cc
@@ -40,6 +40,8 @@
   for (const auto& change : update.changes) {
     on_change(change, now);
   }
+  routes_confirmed_ = update.configuration_confirmed_at;
+  end_flows_without_route(now);
   for (const auto& record : update.flows) {
     on_flow_record(record, now);
   }
--- a/src/store/item_replica.cc
+++ b/src/store/item_replica.cc
@@ -213,6 +213,12 @@
   return found != items_.end() && found->second.restored;
 }
 
+bool item_replica::is_missing(const std::string& key) const {
+  const auto found = items_.find(key);
+  return found != items_.end() &&
+         found->second.announced > found->second.item.changed;
+}
+
 std::vector<std::pair<std::string, revision>> item_replica::missing() const {
   std::vector<std::pair<std::string, revision>> result;
   for (const auto& [key, known] : items_) {
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -344,6 +344,55 @@
   BOOST_CHECK(verdict.reason == verdict_reason::no_route);
 }
 
+// FLOW: guards against a forwarder that resets an open flow whose route is
+// newer than its configuration.
+BOOST_FIXTURE_TEST_CASE(open_flows_wait_for_their_route, forwarder_fixture) {
+  add(1);
+  const auto tag = value_of(upstream_directory::tag_of(upstream_key(1)));
+  const auto flow = flow_of(1, {5, 5});
+  confirm(at(-100));
+  for (int ms = 0; ms < 500; ms += 100) {
+    const auto verdict = receive({flow, ack, 8, 1, tag}, at(ms));
+    BOOST_CHECK(verdict.action == packet_action::forward);
+    BOOST_CHECK(verdict.upstream == upstream_key(1));
+  }
+  // What was confirmed at about the time of the first packet tells nothing.
+  confirm(at(900));
+  BOOST_CHECK(tested.take_resets().empty());
+  add_route({5, 5}, at(950));
+  confirm(at(2000));
+  BOOST_CHECK(tested.take_resets().empty());
+  BOOST_CHECK(receive({flow, ack, 8, 1, tag}, at(2000)).action ==
+              packet_action::forward);
+  BOOST_CHECK(observer.refused.empty());
+}
+
+// Guards against a flow of a dropped route that continues at a forwarder that
+// never knew the route.
+BOOST_FIXTURE_TEST_CASE(flows_of_routes_dropped_before_end, forwarder_fixture) {
+  add(1);
+  const auto tag = value_of(upstream_directory::tag_of(upstream_key(1)));
+  const auto flow = flow_of(1, {5, 5});
+  receive({flow, ack, 8, 700, tag}, start);
+  confirm(at(999));
+  BOOST_CHECK(tested.take_resets().empty());
+  confirm(at(1000));
+  const auto resets = tested.take_resets();
+  BOOST_REQUIRE_EQUAL(resets.size(), 1U);
+  BOOST_CHECK(resets[0].flow == flow);
+  BOOST_CHECK_EQUAL(resets[0].acknowledged, 700U);
+  BOOST_CHECK(observer.refused == std::vector{verdict_reason::no_route});
+  BOOST_CHECK_EQUAL(tested.flow_count(), 0U);
+}
+
+// Guards against a final answer from a state that nobody has confirmed lately.
+BOOST_FIXTURE_TEST_CASE(outdated_state_refuses_nothing, forwarder_fixture) {
+  BOOST_CHECK(open(1, at(1499)).action == packet_action::reset);
+  const auto verdict = open(2, at(1500));
+  BOOST_CHECK(verdict.action == packet_action::discard);
+  BOOST_CHECK(verdict.reason == verdict_reason::outdated);
+}
+
 // Guards against open flows that continue after their route was removed.
 BOOST_FIXTURE_TEST_CASE(flows_of_removed_routes_end, forwarder_fixture) {
   add(1);
--- a/test/forwarder_fixture.h
+++ b/test/forwarder_fixture.h
@@ -102,6 +102,22 @@
     tested.on_update(update, now);
   }
 
+  /// The store held nothing newer at `when`.
+  void confirm(time_point when) {
+    fleet_update update;
+    update.confirmed_at = update.configuration_confirmed_at = when;
+    tested.on_update(update, when);
+  }
+  void add_route(const endpoint& address, time_point now) {
+    auto routes = std::make_shared<fleet_configuration>();
+    routes->version = 2;
+    for (const auto& each : {test_packets::default_service, address}) {
+      routes->routes.push_back(
+          {"r", each, {{"desk", 1}}, request_type::idempotent, {}, {}, 0});
+    }
+    change(configuration_change{routes}, now);
+  }
+
   void add(std::uint64_t key, record_state state = record_state::present) {
     add_in("north", key, state);
   }
--- a/test/long_flows-test.cc
+++ b/test/long_flows-test.cc
@@ -5,6 +5,7 @@
 
 #include "fleet/test_packets.h"
 #include "fleet/three_data_centres.h"
+#include "rosemarydrum/address_text.h"
 
 namespace rosemarydrum {
 namespace {
@@ -84,6 +85,94 @@
   BOOST_CHECK_EQUAL(sessions.counts(begin, clock.now()).resets, 0U);
 }
 
+/// Operators add and drop routes while the forwarders restart in turn. The
+/// configuration is too long for messages between members, and stale reads are
+/// a second old.
+struct fleet_of_new_routes : three_data_centres {
+  static constexpr int idle_routes = 12;
+  static constexpr std::uint32_t first_address = 0xc6120100;
+
+  fleet_of_new_routes() {
+    store.stale_lag = seconds(1);
+    for (int i = 0; i < idle_routes; ++i) {
+      add_route();
+    }
+    run_for(seconds(2));
+  }
+  endpoint add_route() {
+    const auto number = static_cast<std::uint32_t>(routes.size());
+    const endpoint address{first_address + number, 443};
+    const auto text = to_string(address);
+    routes.push_back({.name = "r-" + std::to_string(number),
+                      .host = text.substr(0, text.find(':'))});
+    configure(++version, routes);
+    return address;
+  }
+  void drop_last_route() {
+    routes.pop_back();
+    configure(++version, routes);
+  }
+
+  std::vector<platform_texts::route_text> routes{{}};
+  std::int64_t version = 1;
+};
+
+// FLOW: guards against resets of open flows on new routes that move to a
+// forwarder which does not know the route yet.
+BOOST_FIXTURE_TEST_CASE(new_routes_keep_their_flows_during_restarts,
+                        fleet_of_new_routes) {
+  const auto began = clock.now();
+  for (int i = 0; i < 60; ++i) {
+    clock.after(milliseconds(330) * i, [this] {
+      const auto address = add_route();
+      for (const std::string centre : {"north", "centre", "south"}) {
+        for (int caller = 0; caller < 6; ++caller) {
+          sessions.start(centre, address, true, milliseconds(100), seconds(3));
+        }
+      }
+    });
+  }
+  // The time from the restart to the next check of readiness differs.
+  for (int round = 0; round < 6; ++round) {
+    const auto name = std::vector{"north-2", "centre-2", "south-2"}[round % 3];
+    nodes.at(name)->leave();
+    run_for(milliseconds(1500 + 70 * round));
+    kill(name);
+    run_for(milliseconds(400));
+    restart(name);
+    run_for(milliseconds(150));
+    // It hears of new routes, but cannot read them.
+    nodes.at(name)->client.fault = store_fault::silent;
+    run_for(milliseconds(900));
+  }
+  const auto counted = sessions.counts(began, clock.now());
+  BOOST_CHECK_GT(counted.served, 10'000U);
+  BOOST_CHECK_EQUAL(counted.resets, 0U);
+  BOOST_CHECK_EQUAL(counted.upstream_resets, 0U);
+}
+
+// Guards against flows of a dropped route that go on at a forwarder which
+// starts after the drop and never knew the route.
+BOOST_FIXTURE_TEST_CASE(dropped_routes_end_at_forwarders_that_start_later,
+                        fleet_of_new_routes) {
+  const auto address = add_route();
+  run_for(seconds(2));
+  for (int caller = 0; caller < 12; ++caller) {
+    sessions.start("north", address, true, seconds(5), seconds(9));
+  }
+  run_for(seconds(1));
+  const auto began = clock.now();
+  drop_last_route();
+  kill("north-1");
+  kill("north-2");
+  run_for(milliseconds(300));
+  restart("north-1");
+  restart("north-2");
+  // The callers send their next requests after about 4 s.
+  run_for(seconds(7));
+  BOOST_CHECK_EQUAL(sessions.counts(began, clock.now()).resets, 12U);
+}
+
 /// Callers whose flows are idle for ten seconds after their opening. The first
 /// answers of all upstreams to opening packets are lost and come again later.
 struct fleet_of_late_answers : three_data_centres {
