Let a balancer refuse nobody from a configuration that may be old

Callers saw: `not_approved` or `unknown_service` from a balancer of the product's own interface that had just started, or that had not received a change yet, although the service and the approval were in force elsewhere.

Change: a packet that the known configuration does not allow is dropped while the balancer is not ready, or while a peer has been ahead of it for less than the 3 s in which a change reaches all balancers. Callers send packets again; after that the refusal is given at once, as before.

--- a/include/rosemarydrum/configuration/config_sync.h
+++ b/include/rosemarydrum/configuration/config_sync.h
@@ -28,6 +28,8 @@
 inline constexpr milliseconds pull_delay{200};
 /// Time for peers to report their revisions after the start: three heartbeats.
 inline constexpr milliseconds ready_delay{1000};
+/// A change reaches all balancers within this time.
+inline constexpr milliseconds max_sync_time{3000};
 
 /// The configuration in force on this balancer, and its replication among
 /// balancers. The revision of each document only grows, whether it comes from
@@ -57,6 +59,9 @@
   /// highest revision reported by the store and the recently heard peers. Stays
   /// true from then on.
   bool is_ready(time_point now) const;
+  /// Whether there may be documents that this balancer lacks: it is not ready,
+  /// or a peer has been ahead of it for less than `max_sync_time`.
+  bool may_lack_documents(time_point now) const;
   /// The highest revision reported by the store or a peer.
   revision highest_known() const;
 
--- a/src/balancer/caller_path.cc
+++ b/src/balancer/caller_path.cc
@@ -64,6 +64,11 @@
                              header.service != service_id{} &&
                              header.service != target->id;
   if (target == nullptr || matched_approval == nullptr || wrong_service) {
+    if (!wrong_service && config.may_lack_documents(now)) {
+      // The service or the approval may be newer than the known configuration.
+      // The packet is dropped, and the caller sends it again.
+      return;
+    }
     const auto kind = wrong_service ? error_kind::bad_packet : error;
     refuse(p, kind, known_outcome(p), now, out);
     return;
--- a/src/configuration/config_sync.cc
+++ b/src/configuration/config_sync.cc
@@ -117,6 +117,11 @@
   return s.ready;
 }
 
+bool config_sync::may_lack_documents(time_point now) const {
+  const auto& since = state_->behind_since;
+  return !is_ready(now) || (since && now - *since < max_sync_time);
+}
+
 revision config_sync::highest_known() const { return state_->highest_known; }
 
 }  // namespace rosemarydrum
