Treat upstreams as cold after a return that a forwarder has only heard of

Cause: upstreams of a data centre that returns count as cold for some seconds, as their entries may say so only later. But they did so only in processes that had themselves seen the data centre out. A process that starts learns of the return from other members, and that had no effect, as nothing told how long ago it was.

Change: messages between members tell how long ago an item was removed, and the upstreams of a data centre count as cold for what is left since its return, whoever has seen it out. Earlier returns have no effect, nor has one of unknown age: the history of the store and members of the code before tell a removal without its time. So processes that start together use warm upstreams at once, as before. An age that is learned later takes effect then. Tombstones are now dropped at the same time by all members; each new process had kept them for two minutes more. A removal of an upstream that is told again does not count as a new one. The event data_centre_in tells the age (back_ms).

--- a/apps/forwarder/state_journal.cc
+++ b/apps/forwarder/state_journal.cc
@@ -56,12 +56,22 @@
     });
   } else if (const auto* state =
                  std::get_if<data_centre_change>(&change.content)) {
-    log_.log(state->out ? event_id::data_centre_out : event_id::data_centre_in,
-             now, [&] {
-               return with_revision({{"data_centre", state->name},
-                                     {"configuration", configuration_}},
-                                    change.changed);
-             });
+    if (state->out) {
+      log_.log(event_id::data_centre_out, now, [&] {
+        return with_revision(
+            {{"data_centre", state->name}, {"configuration", configuration_}},
+            change.changed);
+      });
+      return;
+    }
+    log_.log(event_id::data_centre_in, now, [&] {
+      const auto back_ms =
+          state->back_for ? json::value(state->back_for->count()) : nullptr;
+      return with_revision({{"data_centre", state->name},
+                            {"back_ms", back_ms},
+                            {"configuration", configuration_}},
+                           change.changed);
+    });
   }
 }
 
--- a/include/rosemarydrum/forwarding/fleet_agent.h
+++ b/include/rosemarydrum/forwarding/fleet_agent.h
@@ -112,6 +112,9 @@
   void send_update(const std::vector<kv_item>& new_items, time_point now);
   /// Decodes an item; nullopt if it is no change for the forwarder.
   std::optional<fleet_change> decode(const kv_item& item, time_point now);
+  /// Adds to a removal when it takes effect or has taken effect.
+  void add_removal_times(fleet_change& change, const std::string& key,
+                         time_point now) const;
   void update_registration(time_point now);
 
   const fleet_schema& schema_;
--- a/include/rosemarydrum/forwarding/fleet_change.h
+++ b/include/rosemarydrum/forwarding/fleet_change.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -40,6 +41,8 @@
 struct data_centre_change {
   std::string name;
   bool out = false;
+  /// Time since it was put back, if known.
+  std::optional<milliseconds> back_for{};
 
   friend bool operator==(const data_centre_change&,
                          const data_centre_change&) = default;
--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -185,6 +185,7 @@
   void on_change(const fleet_change& change, time_point now);
   void on_data_centre(const data_centre_change& change, revision changed,
                       time_point now);
+  void expect_cold_upstreams();
 
   forwarder_settings settings_;
   const flow_codec& codec_;
@@ -202,6 +203,8 @@
     revision changed{};
     bool out = false;
     time_point since;
+    /// When operators put it back; unset if not known.
+    std::optional<time_point> back_at;
   };
   std::map<std::string, data_centre_state> data_centres_;
   time_point confirmed_;
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -50,10 +50,9 @@
   /// Data centres that operators have taken out of service get no new flows.
   void set_out(const std::string& data_centre, bool out);
   bool is_out(const std::string& data_centre) const;
-  /// Treats all upstreams of a data centre as cold for `time`. Those of a data
+  /// Treats all upstreams of a data centre as cold until then. Those of a data
   /// centre that comes back may be cold before their entries say so.
-  void treat_as_cold(const std::string& data_centre, duration time,
-                     time_point now);
+  void treat_as_cold(const std::string& data_centre, time_point until);
 
   /// Chooses an upstream of `service` for a new flow; nullopt if none can take
   /// it. `previous` did not answer the flow's opening packet; it is chosen only
@@ -126,6 +125,8 @@
   };
 
   upstream_state& state_of(upstream_index upstream);
+  bool is_cold(const known_upstream& known, const upstream_state& state,
+               time_point now) const;
   /// Members notice a silent upstream at about the same time. A random start of
   /// the interval keeps them from retrying at the same time.
   void spread_retries(upstream_state& state, time_point now);
@@ -141,6 +142,8 @@
   cold_flow_budget cold_budget_;
   outlier_detector outliers_;
   std::set<std::string, std::less<>> out_data_centres_;
+  /// Until when the upstreams of a data centre are treated as cold.
+  std::map<std::string, time_point> cold_data_centres_;
   time_point confirmed_;
   std::vector<upstream_state> states_;
   std::map<std::string, flow_time_estimate> service_flow_time_;
--- a/include/rosemarydrum/store/item_replica.h
+++ b/include/rosemarydrum/store/item_replica.h
@@ -91,6 +91,11 @@
   /// has lost, each with what the store shows instead.
   std::vector<kv_item> unlisted() const;
 
+  /// Returns how long ago the item was removed; nullopt if it is not, or this
+  /// process has only learned that it was, at some time.
+  std::optional<milliseconds> removal_age(const std::string& key,
+                                          time_point now) const;
+
   /// Returns the item, which may be removed; nullptr if it is unknown or its
   /// removal has been dropped.
   const kv_item* find(const std::string& key) const;
@@ -130,6 +135,8 @@
     /// than the item.
     revision announced{};
     time_point removed_at;
+    /// Whether the item was removed at `removed_at`, not at some time before.
+    bool is_removal_dated = false;
     /// What the restored store shows instead of `item`.
     std::optional<kv_item> restored;
 
@@ -140,6 +147,11 @@
     }
     /// Puts a version in force. Drops what the restored store shows.
     void replace(const kv_item& next, time_point now);
+    /// Puts a version in force.
+    void set(const kv_item& next, time_point now);
+    /// Adds what another member knows of the same removal. Returns whether it
+    /// was not known here.
+    bool add(const kv_item& same_removal, time_point now);
   };
 
   void enter_era(store_era era, time_point now);
--- a/include/rosemarydrum/store/kv_store.h
+++ b/include/rosemarydrum/store/kv_store.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,9 @@
   /// had just started: the store may have lost a later version, which is not
   /// written again yet. Not set by the store.
   bool restored = false;
+  /// Time since the removal, if the sender knows it. Only set in messages
+  /// between members.
+  std::optional<milliseconds> removed_for{};
 
   friend bool operator==(const kv_item&, const kv_item&) = default;
 };
--- a/schema/spread.capnp
+++ b/schema/spread.capnp
@@ -15,6 +15,8 @@
   # Era of `changed`.
   era @5 :UInt64;
   restored @6 :Bool;
+  # Time since the removal, at least 1; 0 if it is not known.
+  removedForMs @7 :UInt32;
 }
 
 struct ReportedFailures {
--- a/src/events/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -218,8 +218,9 @@
      "process.",
      "data_centre configuration era revision"},
     {data_centre_in, "data_centre_in", info,
-     "Operators have put a data centre in; its upstreams start cold.",
-     "data_centre configuration era revision"},
+     "Operators have put a data centre in, `back_ms` ago if known; for some "
+     "seconds from then its upstreams count as cold.",
+     "data_centre back_ms configuration era revision"},
     {flow_opened, "flow_opened", info,
      "A request's flow has opened: the upstream was chosen for `reason` among "
      "`candidates`, with `in_flight` flows of this process at it. "
--- a/src/forwarding/fleet_agent.cc
+++ b/src/forwarding/fleet_agent.cc
@@ -257,11 +257,8 @@
     }
     return std::nullopt;
   }
-  if (auto* upstream = std::get_if<upstream_change>(&change->content);
-      upstream != nullptr && upstream->state == record_state::removed &&
-      now < lapse_grace_until_) {
-    upstream->grace =
-        std::chrono::duration_cast<milliseconds>(lapse_grace_until_ - now);
+  if (item.removed) {
+    add_removal_times(*change, item.key, now);
   }
   if (!is_current(*change, now)) {
     return std::nullopt;
@@ -271,6 +268,18 @@
   return change;
 }
 
+void fleet_agent::add_removal_times(fleet_change& change,
+                                    const std::string& key,
+                                    time_point now) const {
+  if (auto* upstream = std::get_if<upstream_change>(&change.content);
+      upstream != nullptr && now < lapse_grace_until_) {
+    upstream->grace =
+        std::chrono::duration_cast<milliseconds>(lapse_grace_until_ - now);
+  } else if (auto* state = std::get_if<data_centre_change>(&change.content)) {
+    state->back_for = replica_.removal_age(key, now);
+  }
+}
+
 // Operators may write earlier versions again before the latest one, after the
 // store has lost them.
 bool fleet_agent::is_current(const fleet_change& change, time_point now) {
--- a/src/forwarding/forwarder_updates.cc
+++ b/src/forwarding/forwarder_updates.cc
@@ -79,6 +79,7 @@
             routes->value->routes.begin(), routes->value->routes.end(),
             [&](const auto& each) { return each.name == entry.first; });
       });
+      expect_cold_upstreams();
     }
   } else if (const auto* state =
                  std::get_if<data_centre_change>(&change.content)) {
@@ -92,12 +93,13 @@
 void forwarder::on_data_centre(const data_centre_change& change,
                                revision changed, time_point now) {
   auto& known = data_centres_[change.name];
-  if (changed <= known.changed) {
+  const bool is_known = changed == known.changed && !change.back_for;
+  if (changed < known.changed || is_known) {
     return;
   }
-  if (known.out && !change.out) {
-    placement_.treat_as_cold(change.name,
-                             max_entry_age + routes_.longest_warmup(), now);
+  if (!change.out && (known.out || change.back_for)) {
+    known.back_at = now - change.back_for.value_or(milliseconds(0));
+    expect_cold_upstreams();
   }
   known.changed = changed;
   if (known.out != change.out) {
@@ -107,6 +109,17 @@
   placement_.set_out(change.name, change.out);
 }
 
+// Upstreams that became cold before their data centre was put back may say so
+// only later. This process need not have seen the data centre out.
+void forwarder::expect_cold_upstreams() {
+  const auto cold_time = max_entry_age + routes_.longest_warmup();
+  for (const auto& [name, state] : data_centres_) {
+    if (state.back_at) {
+      placement_.treat_as_cold(name, *state.back_at + cold_time);
+    }
+  }
+}
+
 void forwarder::on_stall(duration stalled, time_point now) {
   handshake_deadlines_.clear();
   response_deadlines_.clear();
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -52,13 +52,18 @@
   return out_data_centres_.contains(data_centre);
 }
 
-void placement::treat_as_cold(const std::string& data_centre, duration time,
-                              time_point now) {
-  directory_.for_each([&](upstream_index index, const known_upstream& known) {
-    if (known.record.data_centre == data_centre) {
-      state_of(index).assumed_cold_until = now + time;
-    }
-  });
+void placement::treat_as_cold(const std::string& data_centre,
+                              time_point until) {
+  cold_data_centres_[data_centre] = until;
+}
+
+bool placement::is_cold(const known_upstream& known,
+                        const upstream_state& state, time_point now) const {
+  if (known.cold_until > now || state.assumed_cold_until > now) {
+    return true;
+  }
+  const auto found = cold_data_centres_.find(known.record.data_centre);
+  return found != cold_data_centres_.end() && found->second > now;
 }
 
 bool placement::is_within_cold_budget(double cold_flows_per_second,
@@ -102,16 +107,15 @@
       continue;
     }
     auto& state = state_of(index);
-    const bool is_cold =
-        known.cold_until > now || state.assumed_cold_until > now;
+    const bool counts_as_cold = is_cold(known, state, now);
     const bool is_silent = state.health.is_silent();
-    if ((is_cold || is_silent) &&
+    if ((counts_as_cold || is_silent) &&
         !is_within_cold_budget(cold_flows_per_second, known.record.key, state,
-                               is_cold, now)) {
+                               counts_as_cold, now)) {
       continue;
     }
     const placement_choice candidate{index,
-                                     is_cold ? placement_reason::cold
+                                     counts_as_cold ? placement_reason::cold
                                      : is_silent
                                          ? placement_reason::probe
                                          : placement_reason::least_loaded,
@@ -121,7 +125,7 @@
     if (index == previous || state.health.is_backed_off(now) ||
         outliers_.is_ejected(index)) {
       last_resort.consider(candidate, rank, random_);
-    } else if (is_cold) {
+    } else if (counts_as_cold) {
       cold.consider(candidate, rank, random_);
     } else {
       // Silent upstreams are ranked together with healthy ones. If they were
@@ -186,11 +190,11 @@
   for (const auto index : directory_.of_service(service)) {
     const auto& known = directory_.at(index);
     const auto position = value_of(index);
-    const bool is_assumed_cold =
-        position < states_.size() && states_[position].assumed_cold_until > now;
+    static const upstream_state unused;
+    const auto& state = position < states_.size() ? states_[position] : unused;
     counted.listed += known.state == listing::listed ? 1 : 0;
     counted.draining += known.record.draining ? 1 : 0;
-    counted.cold += known.cold_until > now || is_assumed_cold ? 1 : 0;
+    counted.cold += is_cold(known, state, now) ? 1 : 0;
     counted.silent += is_silent(index) ? 1 : 0;
     const bool out = is_out(known.record.data_centre);
     counted.out += out ? 1 : 0;
--- a/src/forwarding/upstream_directory.cc
+++ b/src/forwarding/upstream_directory.cc
@@ -40,8 +40,10 @@
   }
   known.changed = changed;
   if (change.state == record_state::removed) {
-    known.state = listing::gone;
-    known.gone_at = now + change.grace;
+    if (known.state != listing::gone) {
+      known.state = listing::gone;
+      known.gone_at = now + change.grace;
+    }
     return index;
   }
   if (change.state == record_state::unreadable) {
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -168,6 +168,11 @@
   body.age =
       std::chrono::duration_cast<milliseconds>(now - replica_.confirmed_at());
   body.listing = std::move(listing);
+  for (auto& item : body.listing.items) {
+    if (item.removed) {
+      item.removed_for = replica_.removal_age(item.key, now);
+    }
+  }
   return make_message(std::move(body));
 }
 
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -1,5 +1,7 @@
 #include "rosemarydrum/spread/spread_message.h"
 
+#include <algorithm>
+
 #include "packed_message.h"
 #include "spread.capnp.h"
 
@@ -15,6 +17,10 @@
   to.setRemoved(item.removed);
   to.setOmitted(item.omitted);
   to.setRestored(item.restored);
+  if (item.removed_for) {
+    const auto age = std::max(*item.removed_for, milliseconds(1));
+    to.setRemovedForMs(static_cast<std::uint32_t>(age.count()));
+  }
 }
 
 // Texts may contain zero bytes.
@@ -24,13 +30,15 @@
 
 kv_item read(wire::StoreItem::Reader from) {
   const auto value = from.getValue();
+  const auto age = from.getRemovedForMs();
   return {read(from.getKey()),
           {reinterpret_cast<const char*>(value.begin()), value.size()},
           {store_era(from.getEra()), from.getChanged()},
           from.getRemoved(),
           from.getOmitted(),
           {},
-          from.getRestored()};
+          from.getRestored(),
+          age == 0 ? std::nullopt : std::optional(milliseconds(age))};
 }
 
 void write(const std::vector<flow_record>& records,
--- a/src/store/item_replica.cc
+++ b/src/store/item_replica.cc
@@ -21,6 +21,10 @@
   for (auto item : listing.items) {
     // What a process reads first may be of a store that was just restored.
     item.restored = item.restored || (listing.complete && is_first);
+    const bool is_new_removal = item.removed && !is_first && item.changed > at_;
+    if (is_new_removal && !item.removed_for) {
+      item.removed_for = milliseconds(0);
+    }
     if (apply_item(item, now)) {
       updated.push_back(items_.at(item.key).item);
     }
@@ -64,10 +68,8 @@
     return false;
   }
   if (item.changed == known.item.changed && item.removed &&
-      known.item.value.empty() && !item.value.empty()) {
-    // Another member knows the last value of a removed item.
-    known.item.value = item.value;
-    return known.item.removed;
+      known.item.removed) {
+    return known.add(item, now);
   }
   // The value of the store's version may have been left out before.
   const bool is_awaited = known.restored && known.restored->omitted &&
@@ -104,21 +106,41 @@
 
 void item_replica::entry::replace(const kv_item& next, time_point now) {
   restored.reset();
+  set(next, now);
+}
+
+void item_replica::entry::set(const kv_item& next, time_point now) {
   if (!next.removed) {
     item = next;
     return;
   }
+  const bool was_present = is_known() && !item.removed;
   // Keeps the last value, so that members that never had the item can fetch it.
   item.key = next.key;
   item.changed = next.changed;
   item.removed = true;
   item.restored = next.restored;
-  removed_at = now;
+  removed_at = now - next.removed_for.value_or(milliseconds(0));
+  is_removal_dated = was_present || next.removed_for;
   if (item.value.empty()) {
     item.value = next.value;
   }
 }
 
+bool item_replica::entry::add(const kv_item& same_removal, time_point now) {
+  bool is_new = false;
+  if (item.value.empty() && !same_removal.value.empty()) {
+    item.value = same_removal.value;
+    is_new = true;
+  }
+  if (!is_removal_dated && same_removal.removed_for) {
+    removed_at = now - *same_removal.removed_for;
+    is_removal_dated = true;
+    is_new = true;
+  }
+  return is_new;
+}
+
 void item_replica::remove_unlisted(const item_listing& listing, time_point now,
                                    std::vector<kv_item>& updated) {
   std::unordered_set<std::string_view> listed;
@@ -203,6 +225,17 @@
   return items;
 }
 
+std::optional<milliseconds> item_replica::removal_age(const std::string& key,
+                                                      time_point now) const {
+  const auto found = items_.find(key);
+  if (found == items_.end() || !found->second.item.removed ||
+      !found->second.is_removal_dated) {
+    return std::nullopt;
+  }
+  const auto age = std::max(now - found->second.removed_at, duration(0));
+  return std::chrono::duration_cast<milliseconds>(age);
+}
+
 const kv_item* item_replica::find(const std::string& key) const {
   const auto found = items_.find(key);
   return found == items_.end() ? nullptr : &found->second.item;
--- a/src/store/item_replica_eras.cc
+++ b/src/store/item_replica_eras.cc
@@ -54,7 +54,7 @@
                              item.changed.era == known.item.changed.era &&
                              item.changed > known.item.changed;
   if (is_later_lost) {
-    known.item = item;
+    known.set(item, now);
     return true;
   }
   return apply_lost(known, item, now);
--- /dev/null
+++ b/test/fleet_cold-test.cc
@@ -0,0 +1,94 @@
+#define BOOST_TEST_MODULE fleet_cold
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "fleet/three_data_centres.h"
+
+// Flows to cold upstreams while forwarders do not know all that others know.
+namespace rosemarydrum {
+namespace {
+
+/// Limit from the requirements.
+constexpr std::size_t max_cold_flows_per_second = 5;
+
+void check_openings(const three_data_centres& fleet,
+                    const std::vector<std::string>& hex_ids) {
+  for (const auto& hex_id : hex_ids) {
+    BOOST_CHECK_LE(fleet.upstreams.at(hex_id)->max_openings_per_second(),
+                   max_cold_flows_per_second);
+  }
+}
+
+/// Processes that are killed 0.4 s before they start again, at `start_at` from
+/// the end of the evacuation of "south".
+struct restart_near_return {
+  const char* name;
+  std::vector<std::string> nodes;
+  milliseconds start_at;
+};
+
+std::ostream& operator<<(std::ostream& out, const restart_near_return& each) {
+  return out << each.name;
+}
+
+void play(three_data_centres& fleet, const restart_near_return& restarted) {
+  fleet.run_for(seconds(8));
+  fleet.evacuate("south");
+  fleet.run_for(seconds(4));
+  fleet.load(120, seconds(4));
+  fleet.run_for(seconds(1));
+  for (const auto& name : restarted.nodes) {
+    fleet.clock.after(restarted.start_at + milliseconds(100),
+                      [&fleet, name] { fleet.kill(name); });
+    fleet.clock.after(restarted.start_at + milliseconds(500),
+                      [&fleet, name] { fleet.restart(name); });
+  }
+  fleet.run_for(milliseconds(500));
+  fleet.end_evacuation("south");
+  fleet.run_for(milliseconds(2500));
+}
+
+const std::vector<restart_near_return> restarts{
+    {"a small one", {"south-2"}, milliseconds(100)},
+    {"a reader", {"south-1"}, milliseconds(100)},
+    {"just before", {"south-1"}, milliseconds(-10)},
+    {"just after", {"south-1"}, milliseconds(10)},
+    {"later", {"south-1"}, milliseconds(1500)},
+};
+
+// FAILBACK: guards against full load on the cold upstreams of a data centre
+// from processes that have not seen its evacuation.
+BOOST_DATA_TEST_CASE(starting_forwarders_limit_flows_to_a_returning_data_centre,
+                     boost::unit_test::data::make(restarts), restarted) {
+  three_data_centres fleet;
+  play(fleet, restarted);
+  check_openings(fleet, {"c0", "c1", "c2"});
+}
+
+// RECOVER: guards against warm upstreams that count as cold after all processes
+// have been restarted at once, because their data centre had once been out.
+BOOST_FIXTURE_TEST_CASE(a_restarted_fleet_uses_warm_upstreams,
+                        three_data_centres) {
+  evacuate("south");
+  run_for(seconds(4));
+  end_evacuation("south");
+  run_for(seconds(6));
+  std::vector<std::string> names;
+  for (const auto& [name, node] : nodes) {
+    names.push_back(name);
+  }
+  for (const auto& name : names) {
+    kill(name);
+    restart(name);
+  }
+  run_for(milliseconds(400));
+  load(120, seconds(2));
+  run_for(seconds(5));
+  BOOST_CHECK_EQUAL(failed(), 0U);
+  BOOST_CHECK_EQUAL(served_slower_than(milliseconds(300)), 0U);
+  BOOST_CHECK_GT(upstreams.at("c0")->max_openings_per_second(),
+                 4 * max_cold_flows_per_second);
+}
+
+}  // namespace
+}  // namespace rosemarydrum
--- a/test/forwarder-test.cc
+++ b/test/forwarder-test.cc
@@ -564,5 +564,66 @@
   BOOST_CHECK(open(1, start).action != packet_action::forward);
 }
 
+// FAILBACK: guards against full load on cold upstreams of a data centre that
+// was put back before this process started.
+BOOST_FIXTURE_TEST_CASE(a_learned_return_of_a_data_centre_counts,
+                        forwarder_fixture) {
+  add(1);
+  add_remote(2);
+  change(data_centre_change{"north", false, milliseconds(1500)});
+  // Entries may be 2 s old, and upstreams stay cold for 2 s.
+  for (std::uint16_t port = 1; port <= 20; ++port) {
+    BOOST_CHECK(open(port, at(2400)).upstream == upstream_key(2));
+  }
+  BOOST_CHECK(open(21, at(2501)).upstream == upstream_key(1));
+}
+
+// Guards against processes that start together, and treat warm upstreams as
+// cold because operators had once taken their data centre out.
+BOOST_FIXTURE_TEST_CASE(earlier_returns_of_a_data_centre_do_not_count,
+                        forwarder_fixture) {
+  add(1);
+  add_remote(2);
+  change(data_centre_change{"north", false, milliseconds(4000)});
+  BOOST_CHECK(open(1, start).upstream == upstream_key(1));
+  change(data_centre_change{"north", false});
+  BOOST_CHECK(open(2, at(1)).upstream == upstream_key(1));
+}
+
+// FAILBACK: guards against a return that has no effect, because its time is
+// learned after the return itself.
+BOOST_FIXTURE_TEST_CASE(the_time_of_a_return_may_be_learned_later,
+                        forwarder_fixture) {
+  add(1);
+  add_remote(2);
+  fleet_update update;
+  update.changes = {{revision(60), data_centre_change{"north", false}}};
+  tested.on_update(update, start);
+  BOOST_CHECK(open(1, start).upstream == upstream_key(1));
+  update.changes = {
+      {revision(60), data_centre_change{"north", false, milliseconds(500)}}};
+  tested.on_update(update, start);
+  for (std::uint16_t port = 2; port <= 20; ++port) {
+    BOOST_CHECK(open(port, at(100)).upstream == upstream_key(2));
+  }
+}
+
+// FAILBACK: guards against upstreams that count as cold for too short a time,
+// because the return of their data centre was known before the configuration.
+BOOST_FIXTURE_TEST_CASE(returns_known_before_the_configuration_count,
+                        forwarder_fixture) {
+  add(1);
+  add_remote(2);
+  change(data_centre_change{"north", false, milliseconds(0)});
+  auto routes = std::make_shared<fleet_configuration>(configuration());
+  routes->version = 2;
+  routes->services[0].warmup = seconds(5);
+  change(configuration_change{routes});
+  for (std::uint16_t port = 1; port <= 20; ++port) {
+    BOOST_CHECK(open(port, at(6900)).upstream == upstream_key(2));
+  }
+  BOOST_CHECK(open(21, at(7001)).upstream == upstream_key(1));
+}
+
 }  // namespace
 }  // namespace rosemarydrum
--- a/test/forwarder_fixture.h
+++ b/test/forwarder_fixture.h
@@ -80,20 +80,25 @@
   static time_point at(int ms) { return start + milliseconds(ms); }
 
   forwarder_fixture() {
-    auto routes = std::make_shared<fleet_configuration>();
-    routes->version = 1;
-    routes->routes.push_back({"r-desk",
-                              test_packets::default_service,
-                              {{"desk", 1}},
-                              request_type::idempotent,
-                              milliseconds(1500),
-                              milliseconds(300),
-                              0});
-    routes->services.push_back({"desk", milliseconds(2000), 0});
+    auto routes = std::make_shared<fleet_configuration>(configuration());
     // Long enough ago for handshakes to count against upstreams.
     change(configuration_change{routes}, start - seconds(10));
   }
 
+  static fleet_configuration configuration() {
+    fleet_configuration routes;
+    routes.version = 1;
+    routes.routes.push_back({"r-desk",
+                             test_packets::default_service,
+                             {{"desk", 1}},
+                             request_type::idempotent,
+                             milliseconds(1500),
+                             milliseconds(300),
+                             0});
+    routes.services.push_back({"desk", milliseconds(2000), 0});
+    return routes;
+  }
+
   void change(decltype(fleet_change::content) content, time_point now = start) {
     fleet_update update;
     update.confirmed_at = start;
--- a/test/item_replica-test.cc
+++ b/test/item_replica-test.cc
@@ -53,6 +53,43 @@
   BOOST_CHECK(!replica.find("b")->removed);
 }
 
+// Guards against a removal that counts as new, and is kept anew, in each
+// process that learns of it from another.
+BOOST_FIXTURE_TEST_CASE(removals_keep_their_age, fixture) {
+  auto learned = removal("a", 4);
+  learned.removed_for = seconds(20);
+  apply(complete_listing({item("b", 5)}, 5));
+  apply(changes({learned}, 3, 4));
+  apply(changes({removal("b", 6)}, 5, 6));
+  const auto later = start + seconds(3);
+  BOOST_CHECK(replica.removal_age("a", later) == seconds(23));
+  BOOST_CHECK(replica.removal_age("b", later) == seconds(3));
+  BOOST_CHECK(!replica.removal_age("c", later));
+  replica.tick(start + seconds(40));
+  BOOST_CHECK(replica.find("a") == nullptr);
+  BOOST_CHECK(replica.find("b") != nullptr);
+}
+
+// Guards against taking an earlier removal, which the store's history or a
+// member of an earlier version tells without its time, for one that has just
+// happened.
+BOOST_FIXTURE_TEST_CASE(earlier_removals_have_no_age_until_it_is_learned,
+                        fixture) {
+  apply(complete_listing({removal("a", 4), item("b", 5)}, 5));
+  apply(changes({removal("c", 3)}, 2, 3));
+  BOOST_CHECK(!replica.removal_age("a", start));
+  BOOST_CHECK(!replica.removal_age("c", start));
+  auto learned = removal("a", 4);
+  learned.removed_for = seconds(20);
+  BOOST_CHECK_EQUAL(apply(changes({learned}, 3, 4)).size(), 1U);
+  BOOST_CHECK(replica.removal_age("a", start) == seconds(20));
+  BOOST_CHECK(apply(changes({learned}, 3, 4)).empty());
+  // The item was not known before it was removed, but this process has seen all
+  // changes meanwhile.
+  apply(changes({removal("d", 7)}, 5, 7));
+  BOOST_CHECK(replica.removal_age("d", start) == seconds(0));
+}
+
 // Guards against a lost change between two listings that goes unnoticed.
 BOOST_FIXTURE_TEST_CASE(gaps_do_not_raise_the_revision, fixture) {
   apply(complete_listing({item("a", 1)}, 3));
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -176,7 +176,7 @@
 BOOST_FIXTURE_TEST_CASE(returning_data_centres_count_as_cold, fixture) {
   add(1, "south");
   add(2, "north");
-  tested.treat_as_cold("south", milliseconds(3000), start);
+  tested.treat_as_cold("south", at(3000));
   for (int i = 0; i < 10; ++i) {
     BOOST_CHECK(choose(at(2999)) == upstream_key(2));
   }
--- a/test/upstream_directory-test.cc
+++ b/test/upstream_directory-test.cc
@@ -101,6 +101,18 @@
   BOOST_CHECK(known.takes_flows(start + seconds(9)));
 }
 
+// Guards against new flows to an upstream whose removal is told once more.
+BOOST_AUTO_TEST_CASE(repeated_removals_change_nothing) {
+  upstream_directory directory;
+  directory.apply(listed(7), revision(1), start);
+  directory.apply(removed(7), revision(2), start);
+  auto repeated = removed(7);
+  repeated.grace = milliseconds(2000);
+  directory.apply(repeated, revision(3), start + seconds(5));
+  const auto& known = directory.at(*directory.find(upstream_key(7)));
+  BOOST_CHECK(!known.takes_flows(start + seconds(5)));
+}
+
 // Guards against flows of two upstreams with the same tag that are mixed up.
 BOOST_AUTO_TEST_CASE(only_the_older_of_two_with_the_same_tag_takes_flows) {
   // Keys above 32 bits are hashed. Searches for two with the same tag.
