Tell a dead upstream from a full link before flows are reset

Cause: two stalled requests were taken for proof of a death. Ruled out: full upstreams, late reading.

Change: the stalls needed follow from how often requests to live upstreams must be sent again; retransmissions to several upstreams at once pause the verdicts; reports of members do not count under loss; data after a retransmission shows that the upstream lives; the handshake time-out follows the round trips.

--- a/include/rosemarydrum/forwarding/answer_progress.h
+++ b/include/rosemarydrum/forwarding/answer_progress.h
@@ -17,6 +17,9 @@
   request,
   /// The caller has sent data of the request again.
   retransmission,
+  /// The caller has sent further data of the request after a retransmission, so
+  /// that the upstream has acknowledged earlier data.
+  further_data,
   /// The caller has acknowledged response bytes.
   answer,
 };
@@ -32,6 +35,8 @@
 
   /// Whether the current request has no answer yet.
   bool is_waiting() const { return waiting_since_ != time_point{}; }
+  /// Whether data of the current or latest request was sent again.
+  bool was_repeated() const { return was_repeated_; }
   /// When the caller last sent data for the first time, rather than again.
   time_point sent_at() const { return sent_at_; }
   /// When the caller last sent any data.
@@ -64,6 +69,9 @@
   time_point waiting_since_;
   time_point sent_at_;
   time_point last_data_at_;
+  /// Whether data of the request was sent again since its last new data.
+  bool is_repeating_ = false;
+  bool was_repeated_ = false;
   time_point answered_at_;
 };
 
--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -16,6 +16,7 @@
 #include "rosemarydrum/forwarding/packet_verdict.h"
 #include "rosemarydrum/forwarding/placement.h"
 #include "rosemarydrum/forwarding/response_size_baseline.h"
+#include "rosemarydrum/forwarding/round_trip_estimate.h"
 #include "rosemarydrum/forwarding/route_table.h"
 #include "rosemarydrum/forwarding/service_ability.h"
 #include "rosemarydrum/forwarding/stall_detector.h"
@@ -39,8 +40,10 @@
 };
 
 /// If the caller sends nothing further for this long after an opening packet,
-/// the packet is sent to another upstream. Callers retransmit much later.
-inline constexpr milliseconds handshake_timeout{60};
+/// the packet is sent to another upstream. The time follows the round trips of
+/// handshakes between these limits. Callers retransmit later.
+inline constexpr milliseconds min_handshake_timeout{60};
+inline constexpr milliseconds max_handshake_timeout{180};
 /// Limits on packets that are held until the first configuration arrives.
 inline constexpr milliseconds max_hold_time{500};
 inline constexpr std::size_t max_held_packets = 1024;
@@ -123,6 +126,8 @@
   packet_verdict hold(const flow_packet& packet, time_point now);
   void release_held(time_point now);
   void repeat_openings(time_point now);
+  duration handshake_timeout() const;
+  void add_round_trip(const open_flow& flow, time_point now);
   packet_verdict on_opening(const flow_packet& packet, time_point now);
   packet_verdict on_established(const flow_packet& packet, time_point now);
   bool knows_routes_at(time_point when) const;
@@ -132,6 +137,7 @@
   void on_end(open_flow& flow, time_point now);
   void on_progress(open_flow& flow, const flow_packet& packet, time_point now);
   void on_request(open_flow& flow, const flow_packet& packet, time_point now);
+  void on_upstream_alive(upstream_index upstream, time_point now);
   void on_answer(open_flow& flow, time_point now);
   std::optional<packet_verdict> place(open_flow& flow,
                                       std::optional<upstream_index> previous,
@@ -212,6 +218,7 @@
   /// Opening packets that were sent earlier do not count against upstreams.
   time_point handshake_health_since_;
   bool is_unable_ = false;
+  round_trip_estimate round_trip_;
   open_flows flows_;
   std::deque<flow_deadline> handshake_deadlines_;
   std::deque<flow_deadline> response_deadlines_;
--- /dev/null
+++ b/include/rosemarydrum/forwarding/loss_estimate.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "rosemarydrum/types.h"
+
+namespace rosemarydrum {
+
+/// Stalls of a dead upstream on a network that loses only single packets.
+inline constexpr std::size_t min_stalls_of_dead_upstream = 2;
+
+/// Estimates how often a request to a live upstream must be sent again, because
+/// packets are lost or delayed on a congested link. The estimate is the worst
+/// of several short intervals: losses on a full link come in bursts.
+class loss_estimate {
+ public:
+  void on_request(time_point now);
+  /// Requests to a live upstream were sent again.
+  void on_loss(std::size_t requests, time_point now);
+
+  /// Share of requests that were sent again, from 0 to 1.
+  double share(time_point now) const;
+  /// Number of stalls at one upstream, without an answer in between, that are
+  /// too improbable for a live one; at least `min_stalls_of_dead_upstream`.
+  std::size_t stalls_of_dead_upstream(time_point now) const;
+
+ private:
+  static constexpr std::size_t interval_count = 10;
+
+  struct interval {
+    /// Number of the interval since the start of time.
+    std::int64_t number = -1;
+    std::uint32_t requests = 0;
+    std::uint32_t lost = 0;
+  };
+
+  interval& interval_at(time_point now);
+
+  std::array<interval, interval_count> intervals_;
+};
+
+}  // namespace rosemarydrum
--- a/src/forwarding/answer_progress.cc
+++ b/src/forwarding/answer_progress.cc
@@ -1,5 +1,7 @@
 #include "rosemarydrum/forwarding/answer_progress.h"
 
+#include <utility>
+
 namespace rosemarydrum {
 namespace {
 
@@ -46,14 +48,18 @@
   }
   last_data_at_ = now;
   if (!is_new) {
+    is_repeating_ = true;
+    was_repeated_ = true;
     return progress_event::retransmission;
   }
   sent_until_ = end;
   sent_at_ = now;
+  const bool was_repeating = std::exchange(is_repeating_, false);
   if (is_waiting()) {
-    return progress_event::none;
+    return was_repeating ? progress_event::further_data : progress_event::none;
   }
   ++requests_;
+  was_repeated_ = false;
   request_acknowledged_ = acknowledged_;
   request_began_ = waiting_since_ = now;
   return progress_event::request;
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -134,6 +134,7 @@
   }
   stalls_.on_answer(upstream, now);
   observer_.on_handshake(flow, now);
+  add_round_trip(flow, now);
   ability_.on_opened(now);
   const auto warmup = service_of(upstream).warmup;
   if (placement_.on_answered(upstream, warmup, flow.sent_at, now)) {
--- a/src/forwarding/forwarder_openings.cc
+++ b/src/forwarding/forwarder_openings.cc
@@ -103,7 +103,7 @@
   flow.objective = matched_route->objective;
   flow.sent_at = now;
   ++flow.attempts;
-  handshake_deadlines_.push_back({now + handshake_timeout, flow.ends, now});
+  handshake_deadlines_.push_back({now + handshake_timeout(), flow.ends, now});
   auto verdict = to_upstream(chosen->upstream, verdict_reason::placed);
   verdict.tag = directory_.opening_tag(chosen->upstream);
   return verdict;
@@ -152,6 +152,24 @@
   }
 }
 
+duration forwarder::handshake_timeout() const {
+  return std::clamp<duration>(round_trip_.timeout(), min_handshake_timeout,
+                              max_handshake_timeout);
+}
+
+// Each upstream was sent its own copy, unless the caller has retransmitted.
+void forwarder::add_round_trip(const open_flow& flow, time_point now) {
+  const auto key = directory_.at(flow.upstream).record.key;
+  if (flow.attempts != flow.tried.size()) {
+    return;
+  }
+  if (flow.tried.front() == key) {
+    round_trip_.add(now - flow.began);
+  } else if (flow.tried.back() == key) {
+    round_trip_.add(now - flow.sent_at);
+  }
+}
+
 void forwarder::record_unanswered(const open_flow& flow, time_point now) {
   if (flow.load == flow_load::none || flow.sent_at < handshake_health_since_) {
     return;
--- a/src/forwarding/forwarder_responses.cc
+++ b/src/forwarding/forwarder_responses.cc
@@ -22,6 +22,7 @@
       on_request(flow, packet, now);
       return;
     case progress_event::retransmission:
+      stalls_.on_retransmission(flow.upstream, now);
       // Copies sent while no upstream answers say nothing of this one: the
       // process itself may be cut off.
       if (stalls_.has_answered_since(flow.progress.sent_at())) {
@@ -29,7 +30,14 @@
             {now + retransmission_answer_time, flow.ends, now});
       }
       return;
+    case progress_event::further_data:
+      stalls_.on_answered_retransmission(now);
+      on_upstream_alive(flow.upstream, now);
+      return;
     case progress_event::answer:
+      if (previous.is_waiting() && previous.was_repeated()) {
+        stalls_.on_answered_retransmission(now);
+      }
       on_answer(flow, now);
       return;
     case progress_event::none:
@@ -41,6 +49,7 @@
                            time_point now) {
   flow.request = codec_.request_id(packet.data);
   flow.counted_as_failed = false;
+  stalls_.on_request(now);
   if (flow.stage == flow_stage::open) {
     set_load(flow, flow_load::active);
   }
@@ -54,10 +63,14 @@
   }
 }
 
-void forwarder::on_answer(open_flow& flow, time_point now) {
-  if (stalls_.on_answer(flow.upstream, now)) {
-    placement_.on_responsive(flow.upstream);
+void forwarder::on_upstream_alive(upstream_index upstream, time_point now) {
+  if (stalls_.on_answer(upstream, now)) {
+    placement_.on_responsive(upstream);
   }
+}
+
+void forwarder::on_answer(open_flow& flow, time_point now) {
+  on_upstream_alive(flow.upstream, now);
   if (flow.stage == flow_stage::open) {
     set_load(flow, flow_load::active);
     check_idle_later(flow, now);
--- a/src/forwarding/forwarder_stalls.cc
+++ b/src/forwarding/forwarder_stalls.cc
@@ -7,6 +7,9 @@
 namespace rosemarydrum {
 
 void forwarder::check_stalls(time_point now) {
+  for (const auto upstream : stalls_.judge_postponed(now)) {
+    on_unresponsive(upstream, now);
+  }
   while (!stall_deadlines_.empty() && stall_deadlines_.front().due <= now) {
     const auto next = stall_deadlines_.front();
     stall_deadlines_.pop_front();
--- a/src/forwarding/stall_detector.cc
+++ b/src/forwarding/stall_detector.cc
@@ -4,15 +4,38 @@
 #include <utility>
 
 namespace rosemarydrum {
+namespace {
+
+/// Callers of a live upstream have an answer within this time after a stall,
+/// unless the upstream was dead and is back.
+constexpr milliseconds max_false_stall_time{700};
+
+}  // namespace
 
 bool stall_detector::on_answer(upstream_index upstream, time_point now) {
   auto& known = entry_of(upstream);
   answered_at_ = known.answered_at = now;
+  if (known.stalled > 0 && now - known.first_stall_at <= max_false_stall_time) {
+    loss_.on_loss(known.stalled, now);
+  }
   known.stalled = 0;
   known.reporters.clear();
   return std::exchange(known.unresponsive_until, time_point{}) > now;
 }
 
+void stall_detector::on_retransmission(upstream_index upstream,
+                                       time_point now) {
+  std::erase_if(retransmissions_, [&](const auto& each) {
+    return each.upstream == upstream ||
+           now - each.at > joint_retransmission_window;
+  });
+  retransmissions_.push_back({now, upstream});
+  if (retransmissions_.size() >= joint_retransmissions && now >= next_pause_) {
+    paused_until_ = now + judgement_pause;
+    next_pause_ = now + judgement_pause_interval;
+  }
+}
+
 bool stall_detector::on_stalled(upstream_index upstream, time_point sent,
                                 bool needs_reporter, time_point now) {
   auto& known = entry_of(upstream);
@@ -21,7 +44,7 @@
   }
   begin_period(known, now);
   ++known.stalled;
-  return update(known, needs_reporter, now);
+  return judge(upstream, needs_reporter, now);
 }
 
 bool stall_detector::on_reported(upstream_index upstream, incarnation reporter,
@@ -33,7 +56,7 @@
       reporters.end()) {
     reporters.push_back(reporter);
   }
-  return update(known, needs_reporter, now);
+  return judge(upstream, needs_reporter, now);
 }
 
 void stall_detector::begin_period(entry& known, time_point now) {
@@ -45,10 +68,23 @@
   }
 }
 
-bool stall_detector::update(entry& known, bool needs_reporter, time_point now) {
+// Members' links are full at the same time, so that their reports prove nothing
+// while requests to live upstreams stall.
+bool stall_detector::is_proven(const entry& known, time_point now) const {
+  const auto needed = loss_.stalls_of_dead_upstream(now);
+  const bool is_lossy = needed > min_stalls_of_dead_upstream;
+  return known.stalled + (is_lossy ? 0 : known.reporters.size()) >= needed;
+}
+
+bool stall_detector::judge(upstream_index upstream, bool needs_reporter,
+                           time_point now) {
+  auto& known = entry_of(upstream);
+  if (now < paused_until_) {
+    postponed_.push_back({upstream, needs_reporter});
+    return false;
+  }
   const bool is_confirmed = !needs_reporter || !known.reporters.empty();
-  if (known.stalled == 0 || !is_confirmed ||
-      known.stalled + known.reporters.size() < stalls_of_unresponsive) {
+  if (known.stalled == 0 || !is_confirmed || !is_proven(known, now)) {
     return false;
   }
   const bool was_unresponsive = now < known.unresponsive_until;
@@ -56,6 +92,19 @@
   return !was_unresponsive;
 }
 
+std::vector<upstream_index> stall_detector::judge_postponed(time_point now) {
+  std::vector<upstream_index> unresponsive;
+  if (now < paused_until_) {
+    return unresponsive;
+  }
+  for (const auto& [upstream, needs_reporter] : std::exchange(postponed_, {})) {
+    if (judge(upstream, needs_reporter, now)) {
+      unresponsive.push_back(upstream);
+    }
+  }
+  return unresponsive;
+}
+
 bool stall_detector::is_unresponsive(upstream_index upstream,
                                      time_point now) const {
   const auto position = value_of(upstream);
--- a/test/answer_progress-test.cc
+++ b/test/answer_progress-test.cc
@@ -82,6 +82,17 @@
   BOOST_CHECK_EQUAL(progress.answer_bytes(), 0U);
 }
 
+// Guards against a long request over a lossy link that counts as stalled
+// although the upstream receives it.
+BOOST_FIXTURE_TEST_CASE(data_after_a_retransmission_shows_progress, fixture) {
+  data(0, 1200, 0);
+  data(1200, 1200, 1);
+  BOOST_CHECK(data(0, 1200, 200) == progress_event::retransmission);
+  BOOST_CHECK(data(2400, 1200, 210) == progress_event::further_data);
+  BOOST_CHECK(data(3600, 1200, 211) == progress_event::none);
+  BOOST_CHECK(progress.is_waiting());
+}
+
 // Guards against late copies that count as a stalled request.
 BOOST_FIXTURE_TEST_CASE(copies_of_answered_requests_do_not_count, fixture) {
   data(0, 100, 0);
--- a/test/forwarder_stalls-test.cc
+++ b/test/forwarder_stalls-test.cc
@@ -214,6 +214,101 @@
   BOOST_CHECK(resets().empty());
 }
 
+// Guards against resets of live flows in a burst of traffic that fills the
+// link of this machine: requests to all upstreams stall, the copies as well
+// (all callers fourfold and sixfold on a fleet whose machines have 10 Mbit/s).
+BOOST_FIXTURE_TEST_CASE(a_full_link_resets_nothing, long_flows) {
+  healthy = {session_at(upstream_key(1), 100)};
+  std::vector<std::uint16_t> waiting;
+  for (std::uint64_t key = 1; key <= upstreams; ++key) {
+    for (int i = 0; i < 3; ++i) {
+      waiting.push_back(session_at(upstream_key(key), 110));
+    }
+  }
+  for (int round = 0; round < 6; ++round) {
+    const int began = 300 + 1000 * round;
+    run_until(began);
+    for (const auto port : waiting) {
+      request(port, began);
+    }
+    run_until(began + 200);
+    for (const auto port : waiting) {
+      copy(port, began + 200);
+    }
+    run_until(began + 600);
+    for (const auto port : waiting) {
+      copy(port, began + 600);
+    }
+    run_until(began + 680);
+    for (const auto port : waiting) {
+      answer(port, began + 680);
+    }
+  }
+  run_until(7000);
+  BOOST_CHECK(resets().empty());
+  BOOST_CHECK_EQUAL(observer.unresponsive, 0);
+}
+
+// Guards against a dead upstream that is not told among the losses of a full
+// link.
+BOOST_FIXTURE_TEST_CASE(a_dead_upstream_is_told_on_a_lossy_link, long_flows) {
+  healthy = {session_at(upstream_key(1), 100)};
+  std::vector<std::uint16_t> waiting;
+  for (const std::uint64_t key : {1, 2, 4}) {
+    waiting.push_back(session_at(upstream_key(key), 110));
+  }
+  std::vector<std::uint16_t> lost;
+  for (int i = 0; i < 12; ++i) {
+    lost.push_back(session_at(dead, 120));
+  }
+  run_until(300);
+  for (const auto port : waiting) {
+    request(port, 300);
+  }
+  run_until(500);
+  for (const auto port : waiting) {
+    copy(port, 500);
+  }
+  run_until(650);
+  for (const auto port : waiting) {
+    answer(port, 650);
+  }
+  for (const auto port : lost) {
+    request(port, 650);
+  }
+  run_until(850);
+  for (const auto port : lost) {
+    copy(port, 850);
+  }
+  run_until(1650);
+  const auto reset = resets();
+  for (const auto port : lost) {
+    BOOST_CHECK(std::count(reset.begin(), reset.end(), port) == 1);
+  }
+}
+
+// Guards against a second upstream for each flow while packets wait at a full
+// link, which doubles the load.
+BOOST_FIXTURE_TEST_CASE(openings_wait_for_a_slow_round_trip, long_flows) {
+  for (int i = 0; i < 20; ++i) {
+    const auto port = static_cast<std::uint16_t>(800 + i);
+    const int ms = 100 + 200 * i;
+    const int round_trip = i % 2 == 0 ? 20 : 58;
+    const auto opened = receive({flow_of(port)}, at(ms));
+    receive({flow_of(port), ack, 8, 1, value_of(opened.tag)},
+            at(ms + round_trip));
+    tested.due_packets(false, at(ms + 190));
+  }
+  const auto repeated_after = [this](std::uint16_t port, int ms, int waited) {
+    tested.due_packets(false, at(ms - 500));
+    tested.due_packets(false, at(ms - 1));
+    receive({flow_of(port)}, at(ms));
+    return tested.due_packets(false, at(ms + waited)).size();
+  };
+  BOOST_CHECK_EQUAL(repeated_after(900, 5000, 90), 0U);
+  BOOST_CHECK_EQUAL(repeated_after(901, 7000, 190), 1U);
+}
+
 // Guards against a single long flow that waits although all its copies were
 // lost.
 BOOST_FIXTURE_TEST_CASE(two_copies_of_one_request_are_enough, long_flows) {
--- a/test/stall_detector-test.cc
+++ b/test/stall_detector-test.cc
@@ -101,6 +101,79 @@
   BOOST_CHECK(stall(102));
 }
 
+// Guards against verdicts at the onset of a full link: callers of many
+// upstreams retransmit at once, and their copies are lost as well.
+BOOST_FIXTURE_TEST_CASE(joint_retransmissions_pause_the_verdict, fixture) {
+  for (std::uint32_t i = 0; i < joint_retransmissions; ++i) {
+    detector.on_retransmission(upstream_index(10 + i), at(200 + 5 * i));
+  }
+  BOOST_CHECK(!stall(10));
+  BOOST_CHECK(!stall(20));
+  BOOST_CHECK(!detector.is_unresponsive(dead, at(600)));
+  BOOST_CHECK(detector.judge_postponed(at(600)).empty());
+  // It is dead if its callers have no answer until the pause ends.
+  BOOST_CHECK(detector.judge_postponed(at(720)) == std::vector{dead});
+  BOOST_CHECK(detector.is_unresponsive(dead, at(720)));
+}
+
+// Guards against a verdict after the pause on an upstream that has answered.
+BOOST_FIXTURE_TEST_CASE(answers_in_the_pause_end_the_suspicion, fixture) {
+  for (std::uint32_t i = 0; i < joint_retransmissions; ++i) {
+    detector.on_retransmission(upstream_index(10 + i), at(200 + 5 * i));
+  }
+  BOOST_CHECK(!stall(10));
+  BOOST_CHECK(!stall(20));
+  detector.on_answer(dead, at(400));
+  BOOST_CHECK(detector.judge_postponed(at(720)).empty());
+}
+
+// Guards against a pause without end while many upstreams are dead.
+BOOST_FIXTURE_TEST_CASE(the_pause_is_not_renewed_at_once, fixture) {
+  for (std::uint32_t i = 0; i < 100; ++i) {
+    detector.on_retransmission(upstream_index(10 + i % 10), at(200 + 10 * i));
+  }
+  BOOST_CHECK(!stall(10));
+  BOOST_CHECK(!stall(20));
+  BOOST_CHECK(stall(500));
+}
+
+// Guards against resets while a link stays full: that many stalls are usual for
+// live upstreams.
+BOOST_FIXTURE_TEST_CASE(false_stalls_require_more, fixture) {
+  for (std::uint32_t i = 0; i < 8; ++i) {
+    detector.on_stalled(upstream_index(10 + i), at(10), false, at(310));
+    detector.on_answer(upstream_index(10 + i), at(350));
+  }
+  const auto needed = detector.loss().stalls_of_dead_upstream(at(400));
+  BOOST_REQUIRE_GT(needed, 4U);
+  for (std::size_t i = 1; i < needed; ++i) {
+    BOOST_CHECK(!stall(100 + static_cast<int>(i)));
+  }
+  // A dead upstream is told from them by the next one.
+  BOOST_CHECK(stall(120));
+}
+
+// Guards against reports of members whose links are full as well.
+BOOST_FIXTURE_TEST_CASE(reports_do_not_count_on_a_lossy_link, fixture) {
+  for (std::uint32_t i = 0; i < 8; ++i) {
+    detector.on_stalled(upstream_index(10 + i), at(10), false, at(310));
+    detector.on_answer(upstream_index(10 + i), at(350));
+  }
+  for (std::uint64_t reporter = 1; reporter <= 20; ++reporter) {
+    BOOST_CHECK(!report(incarnation(reporter), 380));
+  }
+  BOOST_CHECK(!stall(100));
+}
+
+// Guards against taking the flows of an upstream that is back for losses.
+BOOST_FIXTURE_TEST_CASE(a_recovery_is_no_loss, fixture) {
+  for (int sent = 10; sent < 100; sent += 10) {
+    stall(sent);
+  }
+  detector.on_answer(dead, at(1400));
+  BOOST_CHECK_EQUAL(detector.loss().share(at(1400)), 0.0);
+}
+
 // Guards against a state that a new upstream takes over with its index.
 BOOST_FIXTURE_TEST_CASE(upstreams_are_forgotten, fixture) {
   stall(10);
