Limit less urgent flows while upstreams reject requests

Callers saw: in a sixfold burst 73 to 80 % of the sales were in time, no more than price boards, which are less urgent; 65,000 of 163,000 requests were rejected by full upstreams, a third of them tries again.

Cause: nothing decided who is admitted. Rejections soon were the usual answer of a route and were no longer told from others; upstreams that rejected most were ejected, which overloaded the rest; flows stayed in a data centre that was full while others had room.

Change: overload_control, with the share of admitted flows of the least urgent priority following the share of rejected requests; rejections hardly move what a route answers usually; recent failures count as load in placement, beyond those that eject a single faulty upstream; none is ejected where most upstreams of a data centre fail. Events flows_limited and flows_unlimited, reason overloaded, counter flow_limits_set.

--- a/apps/command/explanation.cc
+++ b/apps/command/explanation.cc
@@ -18,7 +18,7 @@
     "upstream_silent",   "upstream_answers",     "upstream_ejected",
     "upstream_restored", "upstream_unresponsive"};
 /// Events of a process that explain its decisions.
-constexpr std::array<std::string_view, 18> process_events{
+constexpr std::array<std::string_view, 20> process_events{
     "process_started",
     "process_ready",
     "process_stalled",
@@ -35,6 +35,8 @@
     "knowledge_fresh",
     "service_unable",
     "service_able",
+    "flows_limited",
+    "flows_unlimited",
     "data_centre_out",
     "data_centre_in"};
 
--- a/apps/forwarder/flow_journal.cc
+++ b/apps/forwarder/flow_journal.cc
@@ -230,4 +230,17 @@
   });
 }
 
+void flow_journal::on_limit_change(const limit_change& change, time_point now) {
+  metrics_.limits_set += change.limited ? 1 : 0;
+  log_.log(
+      change.limited ? event_id::flows_limited : event_id::flows_unlimited, now,
+      [&] {
+        return with_known_state(
+            {{"service", change.service},
+             {"priority", change.priority},
+             {"rejected_percent", std::lround(change.rejected_share * 100)}},
+            now);
+      });
+}
+
 }  // namespace rosemarydrum
--- a/apps/forwarder/flow_journal.h
+++ b/apps/forwarder/flow_journal.h
@@ -51,6 +51,7 @@
   void on_unresponsive(const known_upstream& upstream, time_point now) override;
   void on_reset(const open_flow& flow, const known_upstream& upstream,
                 time_point now) override;
+  void on_limit_change(const limit_change& change, time_point now) override;
   void on_answers(const open_flow& flow, const known_upstream& upstream,
                   duration spared, time_point now) override;
 
--- a/include/rosemarydrum/events/event_record.h
+++ b/include/rosemarydrum/events/event_record.h
@@ -76,6 +76,8 @@
   flow_retagged = 709,
   service_unable = 710,
   service_able = 711,
+  flows_limited = 712,
+  flows_unlimited = 713,
 };
 
 /// One entry of the time line. Fields that do not apply are 0 or empty.
--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -21,6 +21,7 @@
 #include "rosemarydrum/forwarding/service_ability.h"
 #include "rosemarydrum/forwarding/stall_detector.h"
 #include "rosemarydrum/forwarding/upstream_directory.h"
+#include "rosemarydrum/overload/overload_control.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
@@ -129,6 +130,7 @@
   duration handshake_timeout() const;
   void add_round_trip(const open_flow& flow, time_point now);
   packet_verdict on_opening(const flow_packet& packet, time_point now);
+  bool is_admitted(const flow_packet& packet, time_point now);
   packet_verdict on_established(const flow_packet& packet, time_point now);
   bool knows_routes_at(time_point when) const;
   bool was_route_dropped(const open_flow& flow) const;
@@ -198,6 +200,7 @@
   upstream_directory directory_;
   placement placement_;
   service_ability ability_;
+  overload_control overload_;
   route_table routes_;
   revision routes_revision_{};
   /// `routes_` were the latest ones at this time.
--- a/include/rosemarydrum/forwarding/forwarder_observer.h
+++ b/include/rosemarydrum/forwarding/forwarder_observer.h
@@ -4,6 +4,7 @@
 #include "rosemarydrum/forwarding/open_flows.h"
 #include "rosemarydrum/forwarding/packet_verdict.h"
 #include "rosemarydrum/forwarding/upstream_directory.h"
+#include "rosemarydrum/overload/overload_control.h"
 #include "rosemarydrum/types.h"
 
 namespace rosemarydrum {
@@ -52,6 +53,9 @@
                           const std::string& /*service*/,
                           const upstream_counts& /*counts*/,
                           time_point /*now*/) {}
+  /// New flows are limited because of an overload, or no longer.
+  virtual void on_limit_change(const limit_change& /*change*/,
+                               time_point /*now*/) {}
   /// A flow has expired before its handshake was completed.
   virtual void on_unanswered(const open_flow& /*flow*/,
                              const known_upstream& /*upstream*/,
--- a/include/rosemarydrum/forwarding/open_flows.h
+++ b/include/rosemarydrum/forwarding/open_flows.h
@@ -49,6 +49,7 @@
   placement_choice choice;
   std::string route;
   milliseconds objective{0};
+  std::uint8_t priority = 0;
   /// When the opening packet was sent to `upstream`.
   time_point sent_at;
   /// Opening packets sent to upstreams.
--- a/include/rosemarydrum/forwarding/packet_verdict.h
+++ b/include/rosemarydrum/forwarding/packet_verdict.h
@@ -34,6 +34,10 @@
   /// Upstreams of the service accept flows but do not answer this process.
   /// Other forwarders may reach them.
   unreachable,
+  /// Upstreams of the service reject requests, and the route is less urgent
+  /// than
+  /// others.
+  overloaded,
   /// As `no_upstream`, but the fleet's state has not been confirmed lately.
   outdated,
   /// The flow's upstream has stopped answering.
@@ -59,10 +63,10 @@
 inline constexpr std::array<std::string_view,
                             static_cast<std::size_t>(verdict_reason::count)>
     verdict_reason_names{{"placed", "established", "retagged", "no_route",
-                          "no_upstream", "unreachable", "outdated",
-                          "unresponsive", "unknown_tag", "data_centre_out",
-                          "held", "stalled", "not_a_callers_packet",
-                          "malformed"}};
+                          "no_upstream", "unreachable", "overloaded",
+                          "outdated", "unresponsive", "unknown_tag",
+                          "data_centre_out", "held", "stalled",
+                          "not_a_callers_packet", "malformed"}};
 
 constexpr std::string_view name_of(verdict_reason reason) {
   return verdict_reason_names[static_cast<std::size_t>(reason)];
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -36,6 +37,12 @@
 inline constexpr double remote_flow_penalty = 1.25;
 /// Load of an open flow without a request, relative to one with a request.
 inline constexpr double idle_flow_load = 1.0 / 16;
+/// Load of each recent failure that members of the data centre have counted, in
+/// excess of `ignored_failures`, with which a single faulty upstream is
+/// ejected. New flows so move to upstreams, also of other data centres, that
+/// reject fewer requests.
+inline constexpr double failed_flow_load = 1.0 / 8;
+inline constexpr double ignored_failures = 3;
 
 /// Chooses upstreams for new flows by the load that this process has placed on
 /// them, their flow times and their health.
@@ -129,11 +136,13 @@
   /// Members notice a silent upstream at about the same time. A random start of
   /// the interval keeps them from retrying at the same time.
   void spread_retries(upstream_state& state, time_point now);
+  bool is_overloaded(std::span<const upstream_index> service,
+                     const std::string& data_centre, time_point now) const;
   bool is_within_cold_budget(double cold_flows_per_second,
                              upstream_key upstream, const upstream_state& state,
                              bool is_cold, time_point now) const;
   double score(const known_upstream& known, const upstream_state& state,
-               const flow_time_estimate& service_flow_time,
+               double failures, const flow_time_estimate& service_flow_time,
                time_point now) const;
 
   placement_settings settings_;
--- a/include/rosemarydrum/forwarding/response_size_baseline.h
+++ b/include/rosemarydrum/forwarding/response_size_baseline.h
@@ -19,6 +19,8 @@
  private:
   double quartile_ = 0;
   std::uint32_t samples_ = 0;
+  /// Short responses since the last one of usual size.
+  std::uint32_t short_in_a_row_ = 0;
 };
 
 }  // namespace rosemarydrum
--- a/src/events/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -234,7 +234,8 @@
      "waited_us configuration era revision age_ms"},
     {flow_refused, "flow_refused", warning,
      "A reset was sent to the caller: the request has not run here. `reason` "
-     "is no_upstream (none can take it) or no_route.",
+     "is no_upstream (none can take it), overloaded (upstreams reject "
+     "requests, and other routes are more urgent) or no_route.",
      "flow route reason service listed draining cold silent out configuration "
      "era revision age_ms"},
     {flow_unanswered, "flow_unanswered", warning,
@@ -281,6 +282,14 @@
     {service_able, "service_able", info,
      "This process is available again after `service_unable`.",
      "configuration era revision age_ms"},
+    {flows_limited, "flows_limited", warning,
+     "Most upstreams of the service reject requests, `rejected_percent` of "
+     "them lately: only a part of the new flows of routes with this priority "
+     "is admitted, so that more urgent ones find room.",
+     "service priority rejected_percent configuration era revision age_ms"},
+    {flows_unlimited, "flows_unlimited", info,
+     "All new flows are admitted again after `flows_limited`.",
+     "service priority rejected_percent configuration era revision age_ms"},
 };
 
 }  // namespace
--- a/src/forwarding/forwarder_openings.cc
+++ b/src/forwarding/forwarder_openings.cc
@@ -27,6 +27,9 @@
     if (const auto upstream = opened_elsewhere(packet.flow, now)) {
       return to_upstream(*upstream, verdict_reason::established);
     }
+    if (!is_admitted(packet, now)) {
+      return refuse(packet, verdict_reason::overloaded, now);
+    }
     if (flow != nullptr) {
       // The caller uses the port of an earlier flow again.
       set_load(*flow, flow_load::none);
@@ -55,6 +58,13 @@
   return *verdict;
 }
 
+// The first transmission of a copy may have been placed by another forwarder.
+bool forwarder::is_admitted(const flow_packet& packet, time_point now) {
+  const auto [matched_route, target] = routes_.route_of(packet.flow);
+  return packet.acknowledged > 0 || target == nullptr ||
+         overload_.admits(target->service, matched_route->priority, now);
+}
+
 // A reset is final for the caller, so it is sent only if no forwarder can place
 // the flow. Without a reset the caller retransmits, and the fabric may route
 // the packet to another forwarder.
@@ -101,6 +111,7 @@
   flow.had_route = true;
   flow.route = matched_route->name;
   flow.objective = matched_route->objective;
+  flow.priority = matched_route->priority;
   flow.sent_at = now;
   ++flow.attempts;
   handshake_deadlines_.push_back({now + handshake_timeout(), flow.ends, now});
--- a/src/forwarding/forwarder_responses.cc
+++ b/src/forwarding/forwarder_responses.cc
@@ -86,9 +86,14 @@
     return;
   }
   auto& baseline = response_baselines_[flow.route];
-  if (response_bytes == 0 || baseline.is_short(response_bytes)) {
+  const bool is_short = baseline.is_short(response_bytes);
+  if (response_bytes == 0 || is_short) {
     record_failure(flow, now);
   }
+  if (response_bytes > 0) {
+    overload_.on_answer(directory_.at(flow.upstream).record.service,
+                        flow.priority, flow.upstream, is_short, now);
+  }
   if (response_bytes > 0) {
     baseline.add(response_bytes);
   }
--- a/src/forwarding/forwarder_updates.cc
+++ b/src/forwarding/forwarder_updates.cc
@@ -129,6 +129,9 @@
 
 void forwarder::tick(time_point now) {
   check_response_timeouts(now);
+  for (const auto& change : overload_.adjust(now)) {
+    observer_.on_limit_change(change, now);
+  }
   placement_.restore_ejected(now, [this, now](upstream_index index) {
     observer_.on_restored(directory_.at(index), now);
   });
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -76,12 +76,14 @@
 }
 
 double placement::score(const known_upstream& known,
-                        const upstream_state& state,
+                        const upstream_state& state, double failures,
                         const flow_time_estimate& service_flow_time,
                         time_point now) const {
   const bool is_remote = known.record.data_centre != settings_.data_centre;
-  const double flows = state.in_flight + state.idle * idle_flow_load +
-                       (is_remote ? remote_flow_penalty : 0.0);
+  const double flows =
+      state.in_flight + state.idle * idle_flow_load +
+      std::max(failures - ignored_failures, 0.0) * failed_flow_load +
+      (is_remote ? remote_flow_penalty : 0.0);
   const double slowness = state.flow_time.slowness(service_flow_time, now);
   // The term `slowness - 1` ranks idle slow upstreams below idle fast ones.
   return (flows * slowness + slowness - 1) / known.record.slots;
@@ -117,7 +119,8 @@
                                          : placement_reason::least_loaded,
                                      state.in_flight};
     ++candidates;
-    const double rank = score(known, state, service_flow_time, now);
+    const double rank = score(known, state, outliers_.failures_at(index, now),
+                              service_flow_time, now);
     if (index == previous || state.health.is_backed_off(now) ||
         outliers_.is_ejected(index)) {
       last_resort.consider(candidate, rank, random_);
--- a/src/forwarding/placement_health.cc
+++ b/src/forwarding/placement_health.cc
@@ -5,6 +5,14 @@
 // What handshakes, stalled flows and failed requests say of upstreams.
 
 namespace rosemarydrum {
+namespace {
+
+/// An upstream fails requests from this decayed number of failures.
+constexpr double failing_threshold = 1;
+/// Fewer upstreams in a data centre do not tell an overload from faults.
+constexpr std::size_t min_judged_upstreams = 4;
+
+}  // namespace
 
 bool placement::on_answered(upstream_index upstream, duration warmup,
                             time_point sent, time_point now) {
@@ -50,8 +58,28 @@
 
 bool placement::on_failures(upstream_index upstream, std::uint32_t failures,
                             time_point now) {
-  const auto& service = directory_.at(upstream).record.service;
-  return outliers_.add(upstream, failures, directory_.of_service(service), now);
+  const auto& record = directory_.at(upstream).record;
+  const auto service = directory_.of_service(record.service);
+  const bool is_single_fault = !is_overloaded(service, record.data_centre, now);
+  return outliers_.add(
+      upstream, failures,
+      is_single_fault ? service : std::span<const upstream_index>{}, now);
+}
+
+// If most upstreams of a data centre fail requests, they are overloaded, and
+// without some of them the others would have to serve more.
+bool placement::is_overloaded(std::span<const upstream_index> service,
+                              const std::string& data_centre,
+                              time_point now) const {
+  std::size_t failing = 0;
+  std::size_t all = 0;
+  for (const auto each : service) {
+    if (directory_.at(each).record.data_centre == data_centre) {
+      ++all;
+      failing += outliers_.failures_at(each, now) >= failing_threshold ? 1 : 0;
+    }
+  }
+  return all >= min_judged_upstreams && 2 * failing > all;
 }
 
 void placement::on_record(upstream_index upstream) {
--- a/src/forwarding/response_size_baseline.cc
+++ b/src/forwarding/response_size_baseline.cc
@@ -10,6 +10,12 @@
 constexpr double quartile_step = 0.05;
 constexpr double quartile_rank = 0.25;
 constexpr std::uint32_t min_samples = 20;
+/// Weight of a short response among longer ones, so that rejections do not
+/// become the usual response in an overload.
+constexpr double short_weight = 1.0 / 16;
+/// After this many short responses in a row, the route's responses have become
+/// shorter.
+constexpr std::uint32_t short_run = 20;
 /// Responses below this fraction of the quartile are short.
 constexpr double short_fraction = 0.25;
 
@@ -19,11 +25,14 @@
 // responses of some failing upstreams hardly move it.
 void response_size_baseline::add(std::uint32_t response_bytes) {
   const double bytes = response_bytes;
+  short_in_a_row_ = is_short(response_bytes) ? short_in_a_row_ + 1 : 0;
+  const bool is_rejection = short_in_a_row_ > 0 && short_in_a_row_ < short_run;
   if (samples_ < min_samples) {
     ++samples_;
     quartile_ += (bytes - quartile_) / samples_;
   } else if (bytes < quartile_) {
-    quartile_ *= 1 - quartile_step * (1 - quartile_rank);
+    const double weight = is_rejection ? short_weight : 1;
+    quartile_ *= 1 - weight * quartile_step * (1 - quartile_rank);
   } else {
     quartile_ = std::max(quartile_, 1.0) * (1 + quartile_step * quartile_rank);
   }
--- a/test/journal-test.cc
+++ b/test/journal-test.cc
@@ -111,6 +111,14 @@
      [](fixture& f) { f.flows.on_ability(true, 0, 9, seconds(3), now()); }},
     {event_id::service_able,
      [](fixture& f) { f.flows.on_ability(false, 0, 0, seconds(0), now()); }},
+    {event_id::flows_limited,
+     [](fixture& f) {
+       f.flows.on_limit_change({"desk", 2, true, 0.3}, now());
+     }},
+    {event_id::flows_unlimited,
+     [](fixture& f) {
+       f.flows.on_limit_change({"desk", 2, false, 0.05}, now());
+     }},
     {event_id::upstream_listed,
      [](fixture& f) {
        f.states.on_change(make_change(upstream_change{
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -61,6 +61,45 @@
   BOOST_CHECK_GT(remote, 2);
 }
 
+// Guards against a data centre whose upstreams reject requests while those of
+// another one have room.
+BOOST_FIXTURE_TEST_CASE(flows_move_away_from_rejecting_upstreams, fixture) {
+  for (std::uint64_t key = 1; key <= 4; ++key) {
+    add(key, "north");
+    add(10 + key, "south");
+  }
+  BOOST_CHECK(choose() <= upstream_key(4));
+  directory.for_each([&](upstream_index index, const known_upstream& known) {
+    if (known.record.data_centre == "north") {
+      tested.on_failures(index, 20, start);
+    }
+  });
+  BOOST_CHECK(choose() > upstream_key(10));
+  // Flows return when the rejections end.
+  BOOST_CHECK(choose(start + seconds(10)) <= upstream_key(4));
+}
+
+// All callers fourfold: guards against ejections in a data centre whose
+// upstreams are overloaded, which leave the others with more.
+BOOST_FIXTURE_TEST_CASE(overloaded_data_centres_eject_none, fixture) {
+  for (std::uint64_t key = 1; key <= 6; ++key) {
+    add(key, "north");
+    add(10 + key, "south");
+  }
+  std::vector<upstream_index> north;
+  directory.for_each([&](upstream_index index, const known_upstream& known) {
+    if (known.record.data_centre == "north") {
+      north.push_back(index);
+    }
+  });
+  for (const auto each : north) {
+    tested.on_failures(each, 2, start);
+  }
+  for (const auto each : north) {
+    BOOST_CHECK(!tested.on_failures(each, 40, start));
+  }
+}
+
 // Guards against new flows to upstreams that are draining or whose data centre
 // is out of service.
 BOOST_FIXTURE_TEST_CASE(draining_and_out_upstreams_get_no_flows, fixture) {
--- a/test/response_size_baseline-test.cc
+++ b/test/response_size_baseline-test.cc
@@ -27,6 +27,24 @@
   BOOST_CHECK(!tested.is_short(error_bytes));
 }
 
+// Guards against rejections that go undetected because they have become the
+// usual response: all callers sixfold, when half of the requests are rejected.
+BOOST_AUTO_TEST_CASE(detects_rejections_in_an_overload) {
+  std::minstd_rand random(7);
+  response_size_baseline tested;
+  for (int i = 0; i < 200; ++i) {
+    tested.add(random_response(random));
+  }
+  int missed = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    const bool fails = i % 2 == 0;
+    const auto bytes = fails ? error_bytes : random_response(random);
+    missed += fails && !tested.is_short(bytes) ? 1 : 0;
+    tested.add(bytes);
+  }
+  BOOST_CHECK_EQUAL(missed, 0);
+}
+
 // Guards against error responses that go undetected, also while a fifth of all
 // responses are errors, and against false alarms.
 BOOST_AUTO_TEST_CASE(detects_error_responses) {
