Report no stalls to members while the own link loses packets

Cause: a report of a member whose link is full was taken, with one stall of the own, for proof of a death; its receiver loses nothing and cannot tell.

Change: a member reports a stall only while its own link loses nothing, and after a pause of verdicts those stalls that are still unanswered.

--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -177,6 +177,7 @@
   upstream_failures& failures_of(upstream_index upstream);
   void check_stalls(time_point now);
   void record_stall(open_flow& flow, time_point now);
+  void report_stall(upstream_index upstream, time_point now);
   bool needs_stall_reporter(upstream_index upstream) const;
   void on_unresponsive(upstream_index upstream, time_point now);
   bool may_reset(const open_flow& flow) const;
--- a/include/rosemarydrum/forwarding/stall_detector.h
+++ b/include/rosemarydrum/forwarding/stall_detector.h
@@ -51,9 +51,13 @@
   /// As `on_stalled`, for a flow of another member.
   bool on_reported(upstream_index upstream, incarnation reporter,
                    bool needs_reporter, time_point now);
-  /// Judges upstreams whose flows stalled during a pause that has ended.
-  /// Returns those that this makes unresponsive.
-  std::vector<upstream_index> judge_postponed(time_point now);
+  /// Returns the upstreams whose flows stalled during a pause that has ended
+  /// and that have not answered since; they are to be judged now.
+  std::vector<upstream_index> take_postponed(time_point now);
+  /// Whether the known stalls make the upstream unresponsive now.
+  bool judge(upstream_index upstream, bool needs_reporter, time_point now);
+  /// Whether a stall seen now says more of its upstream than of the network.
+  bool is_conclusive(time_point now) const;
   bool is_unresponsive(upstream_index upstream, time_point now) const;
 
   /// Requests sent before `now` no longer count, because this process did not
@@ -76,7 +80,6 @@
   entry& entry_of(upstream_index upstream);
   static void begin_period(entry& known, time_point now);
   bool is_proven(const entry& known, time_point now) const;
-  bool judge(upstream_index upstream, bool needs_reporter, time_point now);
 
   std::vector<entry> entries_;
   loss_estimate loss_;
@@ -86,11 +89,8 @@
   };
   /// The latest one of each upstream within `joint_retransmission_window`.
   std::deque<retransmission> retransmissions_;
-  struct postponed_verdict {
-    upstream_index upstream;
-    bool needs_reporter;
-  };
-  std::vector<postponed_verdict> postponed_;
+  /// Upstreams with stalls during the pause.
+  std::vector<upstream_index> postponed_;
   time_point paused_until_;
   time_point next_pause_;
   /// When any upstream answered last.
--- a/src/forwarding/forwarder_stalls.cc
+++ b/src/forwarding/forwarder_stalls.cc
@@ -7,8 +7,11 @@
 namespace rosemarydrum {
 
 void forwarder::check_stalls(time_point now) {
-  for (const auto upstream : stalls_.judge_postponed(now)) {
-    on_unresponsive(upstream, now);
+  for (const auto upstream : stalls_.take_postponed(now)) {
+    report_stall(upstream, now);
+    if (stalls_.judge(upstream, needs_stall_reporter(upstream), now)) {
+      on_unresponsive(upstream, now);
+    }
   }
   while (!stall_deadlines_.empty() && stall_deadlines_.front().due <= now) {
     const auto next = stall_deadlines_.front();
@@ -24,7 +27,7 @@
 void forwarder::record_stall(open_flow& flow, time_point now) {
   const auto ends = flow.ends;
   const auto upstream = flow.upstream;
-  ++failures_of(upstream).stalled;
+  report_stall(upstream, now);
   observer_.on_flow_stalled(flow, directory_.at(upstream), now);
   if (stalls_.on_stalled(upstream, flow.progress.sent_at(),
                          needs_stall_reporter(upstream), now)) {
@@ -40,6 +43,13 @@
   }
 }
 
+// Other members cannot tell whether the link of this machine loses packets.
+void forwarder::report_stall(upstream_index upstream, time_point now) {
+  if (stalls_.is_conclusive(now)) {
+    ++failures_of(upstream).stalled;
+  }
+}
+
 // The way to another data centre may be cut for this process alone. Other
 // members, if there are any, then get answers from there.
 bool forwarder::needs_stall_reporter(upstream_index upstream) const {
--- a/src/forwarding/stall_detector.cc
+++ b/src/forwarding/stall_detector.cc
@@ -68,19 +68,23 @@
   }
 }
 
+bool stall_detector::is_conclusive(time_point now) const {
+  return now >= paused_until_ &&
+         loss_.stalls_of_dead_upstream(now) <= min_stalls_of_dead_upstream;
+}
+
 // Members' links are full at the same time, so that their reports prove nothing
-// while requests to live upstreams stall.
+// while requests to live upstreams must be sent again.
 bool stall_detector::is_proven(const entry& known, time_point now) const {
-  const auto needed = loss_.stalls_of_dead_upstream(now);
-  const bool is_lossy = needed > min_stalls_of_dead_upstream;
-  return known.stalled + (is_lossy ? 0 : known.reporters.size()) >= needed;
+  const auto reported = is_conclusive(now) ? known.reporters.size() : 0;
+  return known.stalled + reported >= loss_.stalls_of_dead_upstream(now);
 }
 
 bool stall_detector::judge(upstream_index upstream, bool needs_reporter,
                            time_point now) {
   auto& known = entry_of(upstream);
   if (now < paused_until_) {
-    postponed_.push_back({upstream, needs_reporter});
+    postponed_.push_back(upstream);
     return false;
   }
   const bool is_confirmed = !needs_reporter || !known.reporters.empty();
@@ -92,17 +96,18 @@
   return !was_unresponsive;
 }
 
-std::vector<upstream_index> stall_detector::judge_postponed(time_point now) {
-  std::vector<upstream_index> unresponsive;
+std::vector<upstream_index> stall_detector::take_postponed(time_point now) {
   if (now < paused_until_) {
-    return unresponsive;
+    return {};
   }
-  for (const auto& [upstream, needs_reporter] : std::exchange(postponed_, {})) {
-    if (judge(upstream, needs_reporter, now)) {
-      unresponsive.push_back(upstream);
-    }
-  }
-  return unresponsive;
+  auto upstreams = std::exchange(postponed_, {});
+  std::sort(upstreams.begin(), upstreams.end());
+  upstreams.erase(std::unique(upstreams.begin(), upstreams.end()),
+                  upstreams.end());
+  std::erase_if(upstreams, [this](upstream_index each) {
+    return entry_of(each).stalled == 0;
+  });
+  return upstreams;
 }
 
 bool stall_detector::is_unresponsive(upstream_index upstream,
--- a/test/forwarder_stalls-test.cc
+++ b/test/forwarder_stalls-test.cc
@@ -249,6 +249,33 @@
   BOOST_CHECK_EQUAL(observer.unresponsive, 0);
 }
 
+// Guards against a member on a full link that reports live upstreams as stalled
+// to members whose links have room: one own stall and a report are enough
+// there.
+BOOST_FIXTURE_TEST_CASE(stalls_on_a_full_link_are_not_reported, long_flows) {
+  healthy = {session_at(upstream_key(1), 100)};
+  std::vector<std::uint16_t> waiting;
+  for (std::uint64_t key = 1; key <= upstreams; ++key) {
+    waiting.push_back(session_at(upstream_key(key), 110));
+  }
+  run_until(300);
+  for (const auto port : waiting) {
+    request(port, 300);
+  }
+  run_until(500);
+  for (const auto port : waiting) {
+    copy(port, 500);
+  }
+  run_until(700);
+  for (const auto port : waiting) {
+    answer(port, 700);
+  }
+  run_until(1500);
+  for (const auto& each : tested.take_failures()) {
+    BOOST_CHECK_EQUAL(each.stalled, 0U);
+  }
+}
+
 // Guards against a dead upstream that is not told among the losses of a full
 // link.
 BOOST_FIXTURE_TEST_CASE(a_dead_upstream_is_told_on_a_lossy_link, long_flows) {
--- a/test/stall_detector-test.cc
+++ b/test/stall_detector-test.cc
@@ -110,9 +110,11 @@
   BOOST_CHECK(!stall(10));
   BOOST_CHECK(!stall(20));
   BOOST_CHECK(!detector.is_unresponsive(dead, at(600)));
-  BOOST_CHECK(detector.judge_postponed(at(600)).empty());
+  BOOST_CHECK(detector.take_postponed(at(600)).empty());
+  BOOST_CHECK(!detector.is_conclusive(at(600)));
   // It is dead if its callers have no answer until the pause ends.
-  BOOST_CHECK(detector.judge_postponed(at(720)) == std::vector{dead});
+  BOOST_CHECK(detector.take_postponed(at(720)) == std::vector{dead});
+  BOOST_CHECK(detector.judge(dead, false, at(720)));
   BOOST_CHECK(detector.is_unresponsive(dead, at(720)));
 }
 
@@ -124,7 +126,7 @@
   BOOST_CHECK(!stall(10));
   BOOST_CHECK(!stall(20));
   detector.on_answer(dead, at(400));
-  BOOST_CHECK(detector.judge_postponed(at(720)).empty());
+  BOOST_CHECK(detector.take_postponed(at(720)).empty());
 }
 
 // Guards against a pause without end while many upstreams are dead.
