--- a/src/forwarding/forwarder_openings.cc
+++ b/src/forwarding/forwarder_openings.cc
@@ -27,6 +27,9 @@
     if (const auto upstream = opened_elsewhere(packet.flow, now)) {
       return to_upstream(*upstream, verdict_reason::established);
     }
+    if (!is_admitted(packet, now)) {
+      return refuse(packet, verdict_reason::overloaded, now);
+    }
     if (flow != nullptr) {
       // The caller uses the port of an earlier flow again.
       set_load(*flow, flow_load::none);
@@ -55,6 +58,13 @@
   return *verdict;
 }
 
+// The first transmission of a copy may have been placed by another forwarder.
+bool forwarder::is_admitted(const flow_packet& packet, time_point now) {
+  const auto [matched_route, target] = routes_.route_of(packet.flow);
+  return packet.acknowledged > 0 || target == nullptr ||
+         overload_.admits(target->service, matched_route->priority, now);
+}
+
 // A reset is final for the caller, so it is sent only if no forwarder can place
 // the flow. Without a reset the caller retransmits, and the fabric may route
 // the packet to another forwarder.
@@ -101,9 +111,10 @@
   flow.had_route = true;
   flow.route = matched_route->name;
   flow.objective = matched_route->objective;
+  flow.priority = matched_route->priority;
   flow.sent_at = now;
   ++flow.attempts;
-  handshake_deadlines_.push_back({now + handshake_timeout, flow.ends, now});
+  handshake_deadlines_.push_back({now + handshake_timeout(), flow.ends, now});
   auto verdict = to_upstream(chosen->upstream, verdict_reason::placed);
   verdict.tag = directory_.opening_tag(chosen->upstream);
   return verdict;
@@ -152,6 +163,24 @@
   }
 }
 
+duration forwarder::handshake_timeout() const {
+  return std::clamp<duration>(round_trip_.timeout(), min_handshake_timeout,
+                              max_handshake_timeout);
+}
+
+// Each upstream was sent its own copy, unless the caller has retransmitted.
+void forwarder::add_round_trip(const open_flow& flow, time_point now) {
+  const auto key = directory_.at(flow.upstream).record.key;
+  if (flow.attempts != flow.tried.size()) {
+    return;
+  }
+  if (flow.tried.front() == key) {
+    round_trip_.add(now - flow.began);
+  } else if (flow.tried.back() == key) {
+    round_trip_.add(now - flow.sent_at);
+  }
+}
+
 void forwarder::record_unanswered(const open_flow& flow, time_point now) {
   if (flow.load == flow_load::none || flow.sent_at < handshake_health_since_) {
     return;
