--- a/include/rosemarydrum/forwarding/cold_flow_budget.h
+++ b/include/rosemarydrum/forwarding/cold_flow_budget.h
@@ -24,6 +24,9 @@
 
   /// Whether this member is assigned to the upstream, by rendezvous hashing.
   bool is_assigned(upstream_key upstream) const;
+  /// This member's rank for the upstream, by rendezvous hashing, divided by the
+  /// number of members: 0 for the first one, below 1 for the last.
+  double rank_fraction(upstream_key upstream) const;
   /// Minimum time between two flows of one assigned member to a cold upstream
   /// that can handle `flows_per_second` from the whole fleet.
   static duration assigned_interval(double flows_per_second);
@@ -32,6 +35,8 @@
   duration shared_interval(double flows_per_second) const;
 
  private:
+  std::size_t rank(upstream_key upstream) const;
+
   std::string self_;
   /// Hashes of the other members' names, for rendezvous weights.
   std::vector<std::uint64_t> others_;
--- a/include/rosemarydrum/forwarding/flow_time_estimate.h
+++ b/include/rosemarydrum/forwarding/flow_time_estimate.h
@@ -10,6 +10,9 @@
  public:
   void add(duration took, time_point now);
 
+  /// Returns whether a flow time is beyond the normal variation; false until
+  /// there are enough samples.
+  bool is_exceeded(duration took) const;
   /// Returns how many times slower flows are than `baseline`, at least 1. The
   /// result decays to 1 without new flows, so that the upstream is retried.
   double slowness(const flow_time_estimate& baseline, time_point now) const;
--- a/src/forwarding/cold_flow_budget.cc
+++ b/src/forwarding/cold_flow_budget.cc
@@ -37,15 +37,23 @@
   }
 }
 
-bool cold_flow_budget::is_assigned(upstream_key upstream) const {
+std::size_t cold_flow_budget::rank(upstream_key upstream) const {
   const auto weight = [upstream](std::uint64_t member) {
     return detail::mix(detail::mix(0x5d, value_of(upstream)), member);
   };
   const auto own = weight(own_);
-  const auto higher =
+  return static_cast<std::size_t>(
       std::count_if(others_.begin(), others_.end(),
-                    [&](auto other) { return weight(other) > own; });
-  return static_cast<std::size_t>(higher) < members_per_cold_upstream;
+                    [&](auto other) { return weight(other) > own; }));
+}
+
+bool cold_flow_budget::is_assigned(upstream_key upstream) const {
+  return rank(upstream) < members_per_cold_upstream;
+}
+
+double cold_flow_budget::rank_fraction(upstream_key upstream) const {
+  return static_cast<double>(rank(upstream)) /
+         (static_cast<double>(others_.size()) + 1);
 }
 
 duration cold_flow_budget::assigned_interval(double flows_per_second) {
--- a/src/forwarding/flow_time_estimate.cc
+++ b/src/forwarding/flow_time_estimate.cc
@@ -12,6 +12,8 @@
 /// Smaller ratios are normal variation between requests.
 constexpr double min_slowness = 2.0;
 constexpr double max_slowness = 16.0;
+/// A single flow time varies more than the mean.
+constexpr double max_single_ratio = 3.0;
 /// Without new samples, the slowness decays with this time constant.
 constexpr double idle_time_constant_us = 2e6;
 
@@ -24,6 +26,11 @@
   last_added_ = now;
 }
 
+bool flow_time_estimate::is_exceeded(duration took) const {
+  return samples_ >= min_samples &&
+         static_cast<double>(took.count()) > mean_us_ * max_single_ratio;
+}
+
 double flow_time_estimate::slowness(const flow_time_estimate& baseline,
                                     time_point now) const {
   if (samples_ < min_samples || baseline.samples_ < min_samples ||
