Pace new flows to upstreams that start or recover

Operators saw: an upstream that turns warm, recovers, or whose ejection ends is flooded by all members at once, and then left idle.

Cause: with no load here it ranks first at each member. Its slow answers and sheds then rank it last for seconds, at all members alike.

Change: placement begins a slow start when an entry is new or states another start, a silent or unresponsive upstream answers again, an ejection ends or a data centre is back. While it has no turn, the upstream comes after the warm ones and before the cold ones, so that no flow is refused that could be placed. The budget of cold upstreams is checked before and is untouched. Upstreams of a process's first listing are not in slow start.

--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -105,6 +105,8 @@
   const upstream_directory& directory() const { return directory_; }
   const route_table& routes() const { return routes_; }
   std::size_t flow_count() const { return flows_.size(); }
+  /// Number of upstreams in slow start.
+  std::size_t slow_starts() const { return placement_.slow_starts(); }
   const service_ability& ability() const { return ability_; }
 
  private:
@@ -181,6 +183,7 @@
                         time_point now);
   packet_verdict discard(const flow_packet& packet, verdict_reason reason,
                          time_point now);
+  void report_slow_starts(time_point now);
   const fleet_service& service_of(upstream_index upstream) const;
   void on_change(const fleet_change& change, time_point now);
   void on_data_centre(const data_centre_change& change, revision changed,
--- a/include/rosemarydrum/forwarding/forwarder_observer.h
+++ b/include/rosemarydrum/forwarding/forwarder_observer.h
@@ -75,6 +75,12 @@
   /// The ejection of the upstream has ended.
   virtual void on_restored(const known_upstream& /*upstream*/,
                            time_point /*now*/) {}
+  /// The upstream has started or recovered: new flows to it are paced.
+  virtual void on_slow_start_entered(const known_upstream& /*upstream*/,
+                                     time_point /*now*/) {}
+  /// New flows to the upstream are no longer paced.
+  virtual void on_slow_start_left(const known_upstream& /*upstream*/,
+                                  time_point /*now*/) {}
   /// The upstream left `unanswered` handshakes in a row unanswered and now
   /// counts as silent.
   virtual void on_silent(const open_flow& /*flow*/,
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -16,6 +16,7 @@
 #include "rosemarydrum/forwarding/handshake_health.h"
 #include "rosemarydrum/forwarding/outlier_detector.h"
 #include "rosemarydrum/forwarding/placement_choice.h"
+#include "rosemarydrum/forwarding/slow_start.h"
 #include "rosemarydrum/forwarding/upstream_directory.h"
 #include "rosemarydrum/types.h"
 
@@ -37,6 +38,16 @@
 /// Load of an open flow without a request, relative to one with a request.
 inline constexpr double idle_flow_load = 1.0 / 16;
 
+/// Upstreams listed this long after the first one have just started, or were
+/// not reachable before.
+inline constexpr milliseconds first_listing_time{1000};
+
+/// An upstream has entered or left slow start.
+struct slow_start_change {
+  upstream_index upstream{};
+  bool entered = false;
+};
+
 /// Chooses upstreams for new flows by the load that this process has placed on
 /// them, their flow times and their health.
 class placement {
@@ -71,6 +82,9 @@
   void on_load(upstream_index upstream, flow_load previous, flow_load load);
   /// Records the time from the start of a request to the end of its answer.
   void on_flow_time(upstream_index upstream, duration took, time_point now);
+  /// Records that the answer of a request was whole. It is judged by the flow
+  /// times recorded so far.
+  void on_whole_answer(upstream_index upstream, duration took, time_point now);
   /// Records that the handshake sent at `sent` was answered. Returns true if
   /// the upstream had been silent; it then counts as cold for `warmup`.
   bool on_answered(upstream_index upstream, duration warmup, time_point sent,
@@ -81,7 +95,7 @@
 
   /// Records that open flows of the upstream get no answers, or do again.
   void on_unresponsive(upstream_index upstream, time_point now);
-  void on_responsive(upstream_index upstream);
+  void on_responsive(upstream_index upstream, time_point now);
 
   /// Adds failed flows of the upstream. Returns true if this ejects it: it then
   /// gets new flows only if no other upstream can take them.
@@ -94,16 +108,27 @@
   /// Calls `restored` with each upstream whose ejection ends.
   template <typename Restored>
   void restore_ejected(time_point now, Restored&& restored) {
-    outliers_.restore(now, std::forward<Restored>(restored));
+    outliers_.restore(now, [&](upstream_index upstream) {
+      begin_slow_start(upstream, now);
+      restored(upstream);
+    });
   }
 
-  /// Resets the handshake health of an upstream whose entry has changed.
-  void on_record(upstream_index upstream);
+  /// Resets the handshake health of an upstream whose entry has changed. It
+  /// enters slow start if it has started again.
+  void on_record(upstream_index upstream, time_point now);
   /// Resets the handshake health of all upstreams, when unanswered handshakes
   /// were caused by this process or its network.
   void reset_handshake_health();
   void forget(upstream_index upstream);
 
+  /// Ends slow starts that have taken the longest time.
+  void expire_slow_starts(time_point now);
+  /// Returns the changes since the last call.
+  std::vector<slow_start_change> take_slow_start_changes();
+  /// Number of upstreams in slow start.
+  std::size_t slow_starts() const;
+
   std::uint32_t in_flight(upstream_index upstream) const;
   /// Unanswered handshakes in a row of the upstream.
   int unanswered(upstream_index upstream) const;
@@ -123,6 +148,32 @@
     /// Counts as cold until then, because it may have been restarted.
     time_point assumed_cold_until;
     flow_time_estimate flow_time;
+    slow_start pacing;
+    /// As its latest entry states; nullopt if it has had none.
+    std::optional<incarnation> run;
+  };
+
+  /// Candidates for a flow, in the order of preference.
+  enum class candidate_group : std::uint8_t {
+    regular,
+    /// In slow start, without a turn.
+    held_back,
+    cold,
+    last_resort,
+    count
+  };
+
+  /// An upstream in slow start that can take the flow.
+  struct starting_candidate {
+    placement_choice choice;
+    double rank = 0;
+    bool has_turn = false;
+  };
+
+  /// Slots of warm upstreams.
+  struct warm_slots {
+    double local = 0;
+    double remote = 0;
   };
 
   upstream_state& state_of(upstream_index upstream);
@@ -135,6 +186,13 @@
   double score(const known_upstream& known, const upstream_state& state,
                const flow_time_estimate& service_flow_time,
                time_point now) const;
+  bool is_remote(const known_upstream& known) const;
+  candidate_group group_of(upstream_index index, const upstream_state& state,
+                           bool is_cold, std::optional<upstream_index> previous,
+                           time_point now) const;
+  void earn_turns(const warm_slots& slots, time_point now);
+  void spend_turns(const placement_choice& chosen, time_point now);
+  void begin_slow_start(upstream_index upstream, time_point at);
 
   placement_settings settings_;
   const upstream_directory& directory_;
@@ -144,6 +202,10 @@
   time_point confirmed_;
   std::vector<upstream_state> states_;
   std::map<std::string, flow_time_estimate> service_flow_time_;
+  /// Upstreams in slow start among the candidates of the current flow.
+  std::vector<starting_candidate> starting_;
+  std::vector<slow_start_change> slow_start_changes_;
+  std::optional<time_point> first_listed_at_;
   std::minstd_rand random_;
 };
 
--- a/src/forwarding/forwarder_responses.cc
+++ b/src/forwarding/forwarder_responses.cc
@@ -56,7 +56,7 @@
 
 void forwarder::on_answer(open_flow& flow, time_point now) {
   if (stalls_.on_answer(flow.upstream, now)) {
-    placement_.on_responsive(flow.upstream);
+    placement_.on_responsive(flow.upstream, now);
   }
   if (flow.stage == flow_stage::open) {
     set_load(flow, flow_load::active);
@@ -66,14 +66,19 @@
 
 void forwarder::check_response(open_flow& flow, std::uint32_t response_bytes,
                                duration took, time_point now) {
+  auto& baseline = response_baselines_[flow.route];
+  const bool is_whole =
+      response_bytes > 0 && !baseline.is_short(response_bytes);
   if (took > duration(0)) {
+    if (is_whole && !flow.counted_as_failed) {
+      placement_.on_whole_answer(flow.upstream, took, now);
+    }
     placement_.on_flow_time(flow.upstream, took, now);
   }
   if (flow.counted_as_failed) {
     return;
   }
-  auto& baseline = response_baselines_[flow.route];
-  if (response_bytes == 0 || baseline.is_short(response_bytes)) {
+  if (!is_whole) {
     record_failure(flow, now);
   }
   if (response_bytes > 0) {
--- a/src/forwarding/forwarder_updates.cc
+++ b/src/forwarding/forwarder_updates.cc
@@ -63,7 +63,7 @@
       directory_.reset_revision(upstream->record.key);
     }
     if (const auto index = directory_.apply(*upstream, change.changed, now)) {
-      placement_.on_record(*index);
+      placement_.on_record(*index, now);
     }
   } else if (const auto* routes =
                  std::get_if<configuration_change>(&change.content)) {
@@ -127,11 +127,23 @@
          (now < stale_state_until_ && confirmed_ < stall_ended_at_);
 }
 
+void forwarder::report_slow_starts(time_point now) {
+  placement_.expire_slow_starts(now);
+  for (const auto& [upstream, entered] : placement_.take_slow_start_changes()) {
+    if (entered) {
+      observer_.on_slow_start_entered(directory_.at(upstream), now);
+    } else {
+      observer_.on_slow_start_left(directory_.at(upstream), now);
+    }
+  }
+}
+
 void forwarder::tick(time_point now) {
   check_response_timeouts(now);
   placement_.restore_ejected(now, [this, now](upstream_index index) {
     observer_.on_restored(directory_.at(index), now);
   });
+  report_slow_starts(now);
   flows_.expire(now, [this, now](open_flow& flow) {
     if (flow.stage == flow_stage::opening && flow.load != flow_load::none) {
       observer_.on_unanswered(flow, directory_.at(flow.upstream), now);
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -1,33 +1,9 @@
 #include "rosemarydrum/forwarding/placement.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace rosemarydrum {
-namespace {
-
-/// Keeps the candidate with the lowest score. Ties are broken uniformly at
-/// random.
-class best_candidate {
- public:
-  void consider(const placement_choice& candidate, double score,
-                std::minstd_rand& random) {
-    if (!chosen_ || score < score_) {
-      ties_ = 1;
-      score_ = score;
-      chosen_ = candidate;
-    } else if (score == score_ && random() % ++ties_ == 0) {
-      chosen_ = candidate;
-    }
-  }
-  const std::optional<placement_choice>& chosen() const { return chosen_; }
-
- private:
-  std::uint32_t ties_ = 0;
-  double score_ = 0;
-  std::optional<placement_choice> chosen_;
-};
-
-}  // namespace
 
 placement::placement(placement_settings settings,
                      const upstream_directory& directory)
@@ -57,91 +33,16 @@
   directory_.for_each([&](upstream_index index, const known_upstream& known) {
     if (known.record.data_centre == data_centre) {
       state_of(index).assumed_cold_until = now + time;
+      begin_slow_start(index, now + time);
     }
   });
 }
 
-bool placement::is_within_cold_budget(double cold_flows_per_second,
-                                      upstream_key upstream,
-                                      const upstream_state& state, bool is_cold,
-                                      time_point now) const {
-  const double rate_limit =
-      cold_flows_per_second * settings_.cold_factor + settings_.cold_extra;
-  if (is_cold) {
-    return cold_budget_.is_assigned(upstream) &&
-           now - state.cold_flow_at >=
-               cold_flow_budget::assigned_interval(rate_limit);
-  }
-  return now - state.cold_flow_at >= cold_budget_.shared_interval(rate_limit);
-}
-
-double placement::score(const known_upstream& known,
-                        const upstream_state& state,
-                        const flow_time_estimate& service_flow_time,
-                        time_point now) const {
-  const bool is_remote = known.record.data_centre != settings_.data_centre;
-  const double flows = state.in_flight + state.idle * idle_flow_load +
-                       (is_remote ? remote_flow_penalty : 0.0);
-  const double slowness = state.flow_time.slowness(service_flow_time, now);
-  // The term `slowness - 1` ranks idle slow upstreams below idle fast ones.
-  return (flows * slowness + slowness - 1) / known.record.slots;
-}
-
-std::optional<placement_choice> placement::choose(
-    const std::string& service, double cold_flows_per_second,
-    std::optional<upstream_index> previous, bool may_repeat, time_point now) {
-  best_candidate regular;
-  best_candidate cold;
-  best_candidate last_resort;
-  std::uint32_t candidates = 0;
-  const auto& service_flow_time = service_flow_time_[service];
-  for (const auto index : directory_.of_service(service)) {
-    const auto& known = directory_.at(index);
-    if (!known.takes_flows(confirmed_) || is_out(known.record.data_centre) ||
-        (index == previous && !may_repeat)) {
-      continue;
-    }
-    auto& state = state_of(index);
-    const bool is_cold =
-        known.cold_until > now || state.assumed_cold_until > now;
-    const bool is_silent = state.health.is_silent();
-    if ((is_cold || is_silent) &&
-        !is_within_cold_budget(cold_flows_per_second, known.record.key, state,
-                               is_cold, now)) {
-      continue;
-    }
-    const placement_choice candidate{index,
-                                     is_cold ? placement_reason::cold
-                                     : is_silent
-                                         ? placement_reason::probe
-                                         : placement_reason::least_loaded,
-                                     state.in_flight};
-    ++candidates;
-    const double rank = score(known, state, service_flow_time, now);
-    if (index == previous || state.health.is_backed_off(now) ||
-        outliers_.is_ejected(index)) {
-      last_resort.consider(candidate, rank, random_);
-    } else if (is_cold) {
-      cold.consider(candidate, rank, random_);
-    } else {
-      // Silent upstreams are ranked together with healthy ones. If they were
-      // only a last resort, they would not be retried while others are healthy.
-      regular.consider(candidate, rank, random_);
-    }
-  }
-  for (const auto* best : {&regular, &cold, &last_resort}) {
-    if (auto chosen = best->chosen()) {
-      chosen->candidates = candidates;
-      return chosen;
-    }
-  }
-  return std::nullopt;
-}
-
 void placement::on_placed(upstream_index upstream, bool uses_cold_budget,
                           time_point now) {
   auto& state = state_of(upstream);
   ++state.in_flight;
+  state.pacing.on_placed();
   if (uses_cold_budget) {
     state.cold_flow_at = now;
   }
@@ -170,6 +71,21 @@
   service_flow_time_[directory_.at(upstream).record.service].add(took, now);
 }
 
+void placement::on_whole_answer(upstream_index upstream, duration took,
+                                time_point now) {
+  auto& pacing = state_of(upstream).pacing;
+  if (!pacing.is_active()) {
+    return;
+  }
+  const auto& usual =
+      service_flow_time_[directory_.at(upstream).record.service];
+  if (usual.is_exceeded(took)) {
+    pacing.on_slow_answer(now - took, now);
+  } else {
+    pacing.on_good_answer(now - took, now);
+  }
+}
+
 void placement::forget(upstream_index upstream) {
   state_of(upstream) = {};
   outliers_.forget(upstream);
--- a/src/forwarding/placement_health.cc
+++ b/src/forwarding/placement_health.cc
@@ -1,8 +1,9 @@
 #include <algorithm>
+#include <utility>
 
 #include "rosemarydrum/forwarding/placement.h"
 
-// What handshakes, stalled flows and failed requests say of upstreams.
+// What entries, handshakes, stalled flows and failed requests say of upstreams.
 
 namespace rosemarydrum {
 
@@ -12,6 +13,7 @@
   const bool was_silent = state.health.on_answered(sent);
   if (was_silent) {
     state.assumed_cold_until = std::max(state.assumed_cold_until, now + warmup);
+    begin_slow_start(upstream, state.assumed_cold_until);
   }
   return was_silent;
 }
@@ -19,7 +21,11 @@
 bool placement::on_unanswered(upstream_index upstream, time_point sent,
                               time_point now) {
   auto& state = state_of(upstream);
+  const int unanswered = state.health.unanswered();
   const bool became_silent = state.health.on_unanswered(sent, now);
+  if (state.health.unanswered() > unanswered) {
+    state.pacing.on_failure(now);
+  }
   if (became_silent) {
     spread_retries(state, now);
   }
@@ -35,8 +41,9 @@
   }
 }
 
-void placement::on_responsive(upstream_index upstream) {
+void placement::on_responsive(upstream_index upstream, time_point now) {
   state_of(upstream).health.reset();
+  begin_slow_start(upstream, now);
 }
 
 void placement::spread_retries(upstream_state& state, time_point now) {
@@ -50,12 +57,59 @@
 
 bool placement::on_failures(upstream_index upstream, std::uint32_t failures,
                             time_point now) {
+  state_of(upstream).pacing.on_failure(now);
   const auto& service = directory_.at(upstream).record.service;
   return outliers_.add(upstream, failures, directory_.of_service(service), now);
 }
 
-void placement::on_record(upstream_index upstream) {
-  state_of(upstream).health.reset();
+void placement::on_record(upstream_index upstream, time_point now) {
+  const auto& known = directory_.at(upstream);
+  auto& state = state_of(upstream);
+  const bool was_silent = state.health.is_silent();
+  state.health.reset();
+  if (known.state != listing::listed) {
+    return;
+  }
+  if (!first_listed_at_) {
+    first_listed_at_ = now;
+  }
+  // Those listed first may have run for long: this process has started.
+  const bool is_new =
+      !state.run && now - *first_listed_at_ > first_listing_time;
+  const bool is_restarted = state.run && *state.run != known.record.run;
+  state.run = known.record.run;
+  if (known.cold_until > now) {
+    begin_slow_start(upstream, known.cold_until);
+  } else if (is_new || is_restarted || was_silent) {
+    begin_slow_start(upstream, now);
+  }
+}
+
+void placement::begin_slow_start(upstream_index upstream, time_point at) {
+  const auto first_turn =
+      cold_budget_.rank_fraction(directory_.at(upstream).record.key);
+  if (state_of(upstream).pacing.begin(at, first_turn)) {
+    slow_start_changes_.push_back({upstream, true});
+  }
+}
+
+void placement::expire_slow_starts(time_point now) {
+  for (std::size_t i = 0; i < states_.size(); ++i) {
+    if (states_[i].pacing.expire(now)) {
+      slow_start_changes_.push_back(
+          {upstream_index(static_cast<std::uint32_t>(i)), false});
+    }
+  }
+}
+
+std::vector<slow_start_change> placement::take_slow_start_changes() {
+  return std::exchange(slow_start_changes_, {});
+}
+
+std::size_t placement::slow_starts() const {
+  return static_cast<std::size_t>(std::count_if(
+      states_.begin(), states_.end(),
+      [](const auto& state) { return state.pacing.is_active(); }));
 }
 
 void placement::reset_handshake_health() {
--- a/test/forwarder_fixture.h
+++ b/test/forwarder_fixture.h
@@ -58,6 +58,12 @@
     ejected.push_back(upstream.record.key);
   }
   void on_restored(const known_upstream&, time_point) override { ++restored; }
+  void on_slow_start_entered(const known_upstream&, time_point) override {
+    ++slow_starts;
+  }
+  void on_slow_start_left(const known_upstream&, time_point) override {
+    ++full_paces;
+  }
 
   int handshakes = 0;
   int unanswered = 0;
@@ -66,6 +72,8 @@
   int answers = 0;
   int failed = 0;
   int restored = 0;
+  int slow_starts = 0;
+  int full_paces = 0;
   int unresponsive = 0;
   std::vector<upstream_key> ejected;
   std::vector<std::string> requests;
@@ -125,7 +133,7 @@
     add_in("south", key, record_state::present);
   }
   void add_in(const std::string& data_centre, std::uint64_t key,
-              record_state state) {
+              record_state state, time_point now = start) {
     change(upstream_change{state,
                            {upstream_key(key),
                             "desk",
@@ -135,7 +143,8 @@
                             false,
                             milliseconds(0),
                             incarnation(1)},
-                           milliseconds(0)});
+                           milliseconds(0)},
+           now);
   }
 
   packet_verdict receive(const test_packets::head& from, time_point now,
--- a/test/forwarder_responses-test.cc
+++ b/test/forwarder_responses-test.cc
@@ -101,5 +101,22 @@
   BOOST_CHECK(!tested.has_failures());
 }
 
+// Guards against slow starts that operators cannot see, or that do not end
+// although the upstream answers.
+BOOST_FIXTURE_TEST_CASE(slow_starts_are_reported, response_fixture) {
+  time = 2000;
+  add_in("north", 9, record_state::present, at(time));
+  tested.tick(at(time));
+  BOOST_CHECK_EQUAL(observer.slow_starts, 1);
+  BOOST_CHECK_EQUAL(tested.slow_starts(), 1U);
+  for (int i = 0; i < 150; ++i) {
+    serve([](upstream_key) { return 4000; });
+    tested.tick(at(time + 15));
+  }
+  BOOST_CHECK_EQUAL(observer.slow_starts, 1);
+  BOOST_CHECK_EQUAL(observer.full_paces, 1);
+  BOOST_CHECK_EQUAL(tested.slow_starts(), 0U);
+}
+
 }  // namespace
 }  // namespace rosemarydrum
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -213,5 +213,90 @@
   BOOST_CHECK(choose() == upstream_key(1));
 }
 
+// Guards against full load at once on upstreams that start or recover, and
+// against a process that starts and holds back upstreams that have run for
+// long.
+BOOST_FIXTURE_TEST_CASE(started_and_recovered_upstreams_start_slowly, fixture) {
+  const auto first = add(1, "north");
+  const auto cold = add(2, "north", milliseconds(2000));
+  tested.on_record(first, start);
+  tested.on_record(cold, start);
+  BOOST_CHECK_EQUAL(tested.slow_starts(), 1U);
+  const auto later = add(3, "north");
+  tested.on_record(later, at(1001));
+  BOOST_CHECK_EQUAL(tested.slow_starts(), 2U);
+  make_silent(first, at(2000));
+  tested.on_answered(first, milliseconds(500), at(2100), at(2100));
+  BOOST_CHECK_EQUAL(tested.slow_starts(), 3U);
+  BOOST_CHECK_EQUAL(tested.take_slow_start_changes().size(), 3U);
+  tested.expire_slow_starts(at(40'000));
+  BOOST_CHECK_EQUAL(tested.slow_starts(), 0U);
+  tested.on_unresponsive(later, at(41'000));
+  tested.on_responsive(later, at(41'000));
+  BOOST_CHECK_EQUAL(tested.slow_starts(), 1U);
+  tested.on_failures(first, 9, at(42'000));
+  tested.restore_ejected(at(50'000), [](upstream_index) {});
+  BOOST_CHECK_EQUAL(tested.slow_starts(), 2U);
+  const auto changes = tested.take_slow_start_changes();
+  BOOST_REQUIRE_EQUAL(changes.size(), 5U);
+  BOOST_CHECK(!changes.front().entered);
+  BOOST_CHECK(changes.back().entered && changes.back().upstream == first);
+}
+
+// Guards against an upstream in slow start that keeps its pace although it
+// fails a request, leaves a handshake unanswered, or is slow.
+BOOST_AUTO_TEST_CASE(signs_of_overload_slow_the_pace) {
+  using sign = void (*)(placement&, upstream_index);
+  const auto flows_after = [](sign given) {
+    fixture f;
+    f.tested.on_record(f.add(1, "north"), fixture::start);
+    for (int i = 0; i < 20; ++i) {
+      f.choose();
+      f.tested.on_flow_time(*f.directory.find(upstream_key(1)),
+                            milliseconds(50), fixture::start);
+    }
+    const auto started = f.add(2, "north");
+    f.tested.on_record(started, fixture::at(1001));
+    f.tested.on_answered(started, milliseconds(0), fixture::at(2900),
+                         fixture::at(2900));
+    given(f.tested, started);
+    int flows = 0;
+    for (int i = 0; i < 12; ++i) {
+      flows += f.choose(fixture::at(3400)) == upstream_key(2) ? 1 : 0;
+    }
+    return flows;
+  };
+  // The first turn comes at once, further ones at half of the flows.
+  BOOST_CHECK_EQUAL(flows_after([](placement&, upstream_index) {}), 1 + 6);
+  for (const sign given : std::initializer_list<sign>{
+           [](placement&tested, upstream_index upstream) {
+             tested.on_failures(upstream, 1, fixture::at(3000));
+           },
+           [](placement&tested, upstream_index upstream) {
+             tested.on_unanswered(upstream, fixture::at(2940),
+                                  fixture::at(3000));
+           },
+           [](placement&tested, upstream_index upstream) {
+             tested.on_whole_answer(upstream, milliseconds(400),
+                                    fixture::at(3000));
+           }}) {
+    BOOST_CHECK_EQUAL(flows_after(given), 1 + 3);
+  }
+}
+
+// Guards against refusals, or flows to cold upstreams, while the warm ones are
+// all in slow start and have no turn.
+BOOST_FIXTURE_TEST_CASE(slow_start_refuses_no_flow, fixture) {
+  tested.set_members({"node-1", "node-2", "node-3", "node-4", "node-5"});
+  add(1, "north");
+  add(2, "north");
+  tested.treat_as_cold("north", milliseconds(0), start);
+  add(3, "north", milliseconds(9000));
+  for (int i = 0; i < 20; ++i) {
+    const auto chosen = choose(at(i));
+    BOOST_CHECK(chosen == upstream_key(1) || chosen == upstream_key(2));
+  }
+}
+
 }  // namespace
 }  // namespace rosemarydrum
