--- a/apps/command/explanation.cc
+++ b/apps/command/explanation.cc
@@ -13,10 +13,11 @@
 constexpr std::uint64_t context_ms = 15'000;
 
 /// Events of an upstream that explain decisions about it.
-constexpr std::array<std::string_view, 8> upstream_events{
-    "upstream_listed",   "upstream_unreadable",  "upstream_gone",
-    "upstream_silent",   "upstream_answers",     "upstream_ejected",
-    "upstream_restored", "upstream_unresponsive"};
+constexpr std::array<std::string_view, 10> upstream_events{
+    "upstream_listed",   "upstream_unreadable",   "upstream_gone",
+    "upstream_silent",   "upstream_answers",      "upstream_ejected",
+    "upstream_restored", "upstream_unresponsive", "upstream_slow_start",
+    "upstream_full_pace"};
 /// Events of a process that explain its decisions.
 constexpr std::array<std::string_view, 18> process_events{
     "process_started",
--- a/apps/forwarder/data_loop.cc
+++ b/apps/forwarder/data_loop.cc
@@ -199,6 +199,7 @@
 void data_loop::report(time_point now) {
   next_report_ = now + report_interval;
   metrics_.flows = core_.flow_count();
+  metrics_.upstreams_in_slow_start = core_.slow_starts();
   for (const auto& record : core_.take_flow_records()) {
     if (unsent_flows_.size() < max_unsent_flows) {
       unsent_flows_.push_back(record);
--- a/apps/forwarder/flow_journal.h
+++ b/apps/forwarder/flow_journal.h
@@ -44,6 +44,10 @@
   void on_ejected(const known_upstream& upstream, double failures,
                   time_point now) override;
   void on_restored(const known_upstream& upstream, time_point now) override;
+  void on_slow_start_entered(const known_upstream& upstream,
+                             time_point now) override;
+  void on_slow_start_left(const known_upstream& upstream,
+                          time_point now) override;
   void on_silent(const open_flow& flow, const known_upstream& upstream,
                  int unanswered, time_point now) override;
   void on_flow_stalled(const open_flow& flow, const known_upstream& upstream,
--- a/apps/forwarder/forwarder_metrics.h
+++ b/apps/forwarder/forwarder_metrics.h
@@ -35,6 +35,9 @@
   std::uint64_t upstreams_restored = 0;
   std::uint64_t upstreams_silent = 0;
   std::uint64_t upstreams_answered = 0;
+  std::uint64_t slow_starts = 0;
+  /// Current number of upstreams in slow start.
+  std::uint64_t upstreams_in_slow_start = 0;
   std::uint64_t stalls = 0;
   /// Current number of flows.
   std::uint64_t flows = 0;
--- a/apps/forwarder/metrics_text.cc
+++ b/apps/forwarder/metrics_text.cc
@@ -57,6 +57,9 @@
   page.counter("upstreams_restored", data.upstreams_restored);
   page.counter("upstreams_silent", data.upstreams_silent);
   page.counter("upstreams_answered", data.upstreams_answered);
+  page.counter("slow_starts", data.slow_starts);
+  page.gauge("upstreams_in_slow_start",
+             static_cast<double>(data.upstreams_in_slow_start));
   page.counter("stalls", data.stalls);
   page.histogram("handshake_seconds", data.handshake);
   page.histogram("first_data_seconds", data.first_data);
--- a/apps/forwarder/upstream_journal.cc
+++ b/apps/forwarder/upstream_journal.cc
@@ -40,6 +40,19 @@
            [&] { return with_known_state(fields_of(upstream), now); });
 }
 
+void flow_journal::on_slow_start_entered(const known_upstream& upstream,
+                                         time_point now) {
+  ++metrics_.slow_starts;
+  log_.log(event_id::upstream_slow_start, now,
+           [&] { return with_known_state(fields_of(upstream), now); });
+}
+
+void flow_journal::on_slow_start_left(const known_upstream& upstream,
+                                      time_point now) {
+  log_.log(event_id::upstream_full_pace, now,
+           [&] { return with_known_state(fields_of(upstream), now); });
+}
+
 void flow_journal::on_silent(const open_flow& flow,
                              const known_upstream& upstream, int unanswered,
                              time_point now) {
--- a/include/rosemarydrum/events/event_record.h
+++ b/include/rosemarydrum/events/event_record.h
@@ -54,6 +54,8 @@
   upstream_ejected = 415,
   upstream_restored = 416,
   upstream_unresponsive = 417,
+  upstream_slow_start = 418,
+  upstream_full_pace = 419,
   request_refused = 500,
   request_retried = 501,
   request_hedged = 502,
--- a/src/events/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -183,6 +183,14 @@
      "open flows here are reset, except for those with a request that must "
      "run at most once.",
      "upstream service data_centre configuration era revision age_ms"},
+    {upstream_slow_start, "upstream_slow_start", info,
+     "An upstream has started or recovered: this process paces its new flows "
+     "to it, from a part of the usual rate upwards.",
+     "upstream service data_centre configuration era revision age_ms"},
+    {upstream_full_pace, "upstream_full_pace", info,
+     "The slow start of an upstream has ended: it is loaded like the others of "
+     "its service.",
+     "upstream service data_centre configuration era revision age_ms"},
     {request_refused, "request_refused", warning,
      "A request was refused; detail is the error's number.",
      "service flow request detail"},
--- a/test/journal-test.cc
+++ b/test/journal-test.cc
@@ -103,6 +103,10 @@
      [](fixture& f) { f.flows.on_ejected(f.upstream, 3.2, now()); }},
     {event_id::upstream_restored,
      [](fixture& f) { f.flows.on_restored(f.upstream, now()); }},
+    {event_id::upstream_slow_start,
+     [](fixture& f) { f.flows.on_slow_start_entered(f.upstream, now()); }},
+    {event_id::upstream_full_pace,
+     [](fixture& f) { f.flows.on_slow_start_left(f.upstream, now()); }},
     {event_id::flow_failed,
      [](fixture& f) { f.flows.on_failed(f.flow, f.upstream, 2500, now()); }},
     {event_id::process_stalled,
@@ -267,7 +271,7 @@
     const bool is_forwarders =
         (number >= 104 && number <= 108) || (number >= 205 && number <= 207) ||
         (number >= 210 && number <= 214) || (number >= 320 && number <= 322) ||
-        (number >= 410 && number <= 416) || number >= 700;
+        (number >= 410 && number <= 419) || number >= 700;
     BOOST_CHECK_MESSAGE(!is_forwarders || logged.contains(row.id), row.name);
   }
 }
