End the slow start of an upstream that takes no flows

Change: an entry that permits no flows ends slow start without an event. An upstream whose entry permits flows again gets a slow start, because it has had no flows meanwhile.

Evidence: upstreams_without_flows_leave_slow_start is new; slow_start, placement, forwarder (4 programs), long_flows and fleet tests pass.

--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -115,7 +115,8 @@
   }
 
   /// Resets the handshake health of an upstream whose entry has changed. It
-  /// enters slow start if it has started again.
+  /// enters slow start if it has started again or takes flows again, and leaves
+  /// it if it takes none.
   void on_record(upstream_index upstream, time_point now);
   /// Resets the handshake health of all upstreams, when unanswered handshakes
   /// were caused by this process or its network.
@@ -149,7 +150,7 @@
     time_point assumed_cold_until;
     flow_time_estimate flow_time;
     slow_start pacing;
-    /// As its latest entry states; nullopt if it has had none.
+    /// As its latest entry states; nullopt if it takes no flows.
     std::optional<incarnation> run;
   };
 
--- a/src/events/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -189,7 +189,7 @@
      "upstream service data_centre configuration era revision age_ms"},
     {upstream_full_pace, "upstream_full_pace", info,
      "The slow start of an upstream has ended: it is loaded like the others of "
-     "its service.",
+     "its service. Not logged if it takes no flows any more.",
      "upstream service data_centre configuration era revision age_ms"},
     {request_refused, "request_refused", warning,
      "A request was refused; detail is the error's number.",
--- a/src/forwarding/placement_health.cc
+++ b/src/forwarding/placement_health.cc
@@ -67,7 +67,9 @@
   auto& state = state_of(upstream);
   const bool was_silent = state.health.is_silent();
   state.health.reset();
-  if (known.state != listing::listed) {
+  if (!known.takes_flows(confirmed_)) {
+    state.run.reset();
+    state.pacing = {};
     return;
   }
   if (!first_listed_at_) {
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -243,6 +243,19 @@
   BOOST_CHECK(changes.back().entered && changes.back().upstream == first);
 }
 
+// Guards against slow starts of upstreams that have left, and against full load
+// at once on one that takes flows again.
+BOOST_FIXTURE_TEST_CASE(upstreams_without_flows_leave_slow_start, fixture) {
+  tested.on_record(add(1, "north", milliseconds(2000)), start);
+  const auto leaving = add(1, "north", milliseconds(1000), true);
+  tested.on_record(leaving, at(1000));
+  BOOST_CHECK_EQUAL(tested.slow_starts(), 0U);
+  tested.on_record(add(1, "north"), at(5000));
+  BOOST_CHECK_EQUAL(tested.slow_starts(), 1U);
+  tested.on_record(add(1, "north"), at(6000));
+  BOOST_CHECK_EQUAL(tested.take_slow_start_changes().size(), 2U);
+}
+
 // Guards against an upstream in slow start that keeps its pace although it
 // fails a request, leaves a handshake unanswered, or is slow.
 BOOST_AUTO_TEST_CASE(signs_of_overload_slow_the_pace) {
