--- a/src/forwarding/forwarder_responses.cc
+++ b/src/forwarding/forwarder_responses.cc
@@ -65,7 +65,7 @@
 
 void forwarder::on_upstream_alive(upstream_index upstream, time_point now) {
   if (stalls_.on_answer(upstream, now)) {
-    placement_.on_responsive(upstream);
+    placement_.on_responsive(upstream, now);
   }
 }
 
@@ -79,22 +79,24 @@
 
 void forwarder::check_response(open_flow& flow, std::uint32_t response_bytes,
                                duration took, time_point now) {
+  auto& baseline = response_baselines_[flow.route];
+  const bool is_whole =
+      response_bytes > 0 && !baseline.is_short(response_bytes);
   if (took > duration(0)) {
+    if (is_whole && !flow.counted_as_failed) {
+      placement_.on_whole_answer(flow.upstream, took, now);
+    }
     placement_.on_flow_time(flow.upstream, took, now);
   }
   if (flow.counted_as_failed) {
     return;
   }
-  auto& baseline = response_baselines_[flow.route];
-  const bool is_short = baseline.is_short(response_bytes);
-  if (response_bytes == 0 || is_short) {
+  if (!is_whole) {
     record_failure(flow, now);
   }
   if (response_bytes > 0) {
     overload_.on_answer(directory_.at(flow.upstream).record.service,
-                        flow.priority, flow.upstream, is_short, now);
-  }
-  if (response_bytes > 0) {
+                        flow.priority, flow.upstream, !is_whole, now);
     baseline.add(response_bytes);
   }
 }
--- a/src/forwarding/forwarder_updates.cc
+++ b/src/forwarding/forwarder_updates.cc
@@ -63,7 +63,7 @@
       directory_.reset_revision(upstream->record.key);
     }
     if (const auto index = directory_.apply(*upstream, change.changed, now)) {
-      placement_.on_record(*index);
+      placement_.on_record(*index, now);
     }
   } else if (const auto* routes =
                  std::get_if<configuration_change>(&change.content)) {
@@ -79,7 +79,7 @@
             routes->value->routes.begin(), routes->value->routes.end(),
             [&](const auto& each) { return each.name == entry.first; });
       });
-      expect_cold_upstreams();
+      expect_cold_upstreams(now);
     }
   } else if (const auto* state =
                  std::get_if<data_centre_change>(&change.content)) {
@@ -99,7 +99,7 @@
   }
   if (!change.out && (known.out || change.back_for)) {
     known.back_at = now - change.back_for.value_or(milliseconds(0));
-    expect_cold_upstreams();
+    expect_cold_upstreams(now);
   }
   known.changed = changed;
   if (known.out != change.out) {
@@ -111,10 +111,10 @@
 
 // Upstreams that became cold before their data centre was put back may say so
 // only later. This process need not have seen the data centre out.
-void forwarder::expect_cold_upstreams() {
+void forwarder::expect_cold_upstreams(time_point now) {
   const auto cold_time = max_entry_age + routes_.longest_warmup();
   for (const auto& [name, state] : data_centres_) {
-    if (state.back_at) {
+    if (state.back_at && now < *state.back_at + cold_time) {
       placement_.treat_as_cold(name, *state.back_at + cold_time);
     }
   }
@@ -140,6 +140,17 @@
          (now < stale_state_until_ && confirmed_ < stall_ended_at_);
 }
 
+void forwarder::report_slow_starts(time_point now) {
+  placement_.expire_slow_starts(now);
+  for (const auto& [upstream, entered] : placement_.take_slow_start_changes()) {
+    if (entered) {
+      observer_.on_slow_start_entered(directory_.at(upstream), now);
+    } else {
+      observer_.on_slow_start_left(directory_.at(upstream), now);
+    }
+  }
+}
+
 void forwarder::tick(time_point now) {
   check_response_timeouts(now);
   for (const auto& change : overload_.adjust(now)) {
@@ -148,6 +159,7 @@
   placement_.restore_ejected(now, [this, now](upstream_index index) {
     observer_.on_restored(directory_.at(index), now);
   });
+  report_slow_starts(now);
   flows_.expire(now, [this, now](open_flow& flow) {
     if (flow.stage == flow_stage::opening && flow.load != flow_load::none) {
       observer_.on_unanswered(flow, directory_.at(flow.upstream), now);
