Let a process that starts ask members that know the last seconds

Cause: a process that starts placed flows, among them those held since its start, before it had asked any member for what the store does not list; it asked two, half a second apart, or later if it had fetched changes before, and was content with members that had just started themselves.

Change: members tell for how long they have known all removals, and take over from each other how far back that is. A process that starts asks until it knows the last 10 s, six members at most, one directly after the other, and again one that is behind it; until then, but for 250 ms at most, it holds packets as it does until the first configuration. While it knows no member it asks the seeds. A process that reads all items after a gap of more than the longest allowed age asks as well.

--- a/apps/forwarder/control_loop.cc
+++ b/apps/forwarder/control_loop.cc
@@ -18,7 +18,6 @@
 constexpr milliseconds stall_time{400};
 constexpr std::size_t max_datagram = 65'536;
 constexpr int max_batch = 64;
-constexpr milliseconds fetch_deadline{1500};
 /// Followed by the era and the number of a revision.
 constexpr std::string_view items_target = "/items?after=";
 constexpr char era_separator = '.';
@@ -180,7 +179,7 @@
                           std::to_string(value_of(request.after.era)) +
                           era_separator + std::to_string(request.after.number);
   fetching_ = std::make_shared<http_connection>(context_, to_tcp(request.from));
-  fetching_->call({http::verb::get, std::move(target), {}, fetch_deadline},
+  fetching_->call({http::verb::get, std::move(target), {}, request.deadline},
                   [this](const http_answer& answer) { on_fetched(answer); });
 }
 
--- a/include/rosemarydrum/forwarding/fleet_agent.h
+++ b/include/rosemarydrum/forwarding/fleet_agent.h
@@ -109,7 +109,9 @@
   void on_flow_report(const flow_record_report& report, time_point now);
   /// Returns an update that holds only the replica's revision and its age.
   fleet_update update_without_changes() const;
-  void send_update(const std::vector<kv_item>& new_items, time_point now);
+  /// Takes the items. Sends nothing while others may tell soon what the store
+  /// does not list.
+  void send_update(std::vector<kv_item>& new_items, time_point now);
   /// Decodes an item; nullopt if it is no change for the forwarder.
   std::optional<fleet_change> decode(const kv_item& item, time_point now);
   /// Adds to a removal when it takes effect or has taken effect.
@@ -126,6 +128,8 @@
   store_follower follower_;
   value_reader values_;
   member_registration registration_;
+  /// Updated items that the forwarder has not received yet.
+  std::vector<kv_item> unsent_items_;
   time_point next_sweep_;
   time_point next_update_;
   std::uint64_t sent_members_version_ = 0;
--- a/include/rosemarydrum/spread/member_history.h
+++ b/include/rosemarydrum/spread/member_history.h
@@ -10,6 +10,8 @@
 /// starts.
 struct member_history {
   std::vector<flow_record> flows;
+  /// For how long the sender has known all removals.
+  milliseconds covered{0};
 
   friend bool operator==(const member_history&,
                          const member_history&) = default;
--- a/include/rosemarydrum/spread/replica_spread.h
+++ b/include/rosemarydrum/spread/replica_spread.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "rosemarydrum/forwarding/flow_packet.h"
+#include "rosemarydrum/spread/history_search.h"
 #include "rosemarydrum/spread/member_record.h"
 #include "rosemarydrum/spread/reader_choice.h"
 #include "rosemarydrum/spread/spread_message.h"
@@ -72,6 +73,13 @@
   spread_message changes_after(revision after, time_point now) const;
   /// Returns `item_replica::unlisted()`.
   spread_message unlisted_items(time_point now) const;
+  /// Whether a process that starts should not place flows yet, because other
+  /// members may tell it soon what the store does not list.
+  bool awaits_history(time_point now) const { return history_.is_awaited(now); }
+  /// For how long this process knows all removals.
+  milliseconds history_covered(time_point now) const {
+    return std::chrono::duration_cast<milliseconds>(history_.covered(now));
+  }
   /// Whether the store or a member that reads it has confirmed the replica
   /// within half of the maximum age.
   bool is_fresh(time_point now) const;
@@ -95,8 +103,6 @@
   std::optional<member_record> random_member(bool local);
 
  private:
-  static constexpr int unlisted_fetches = 2;
-
   /// Applies a listing to the replica and the members. `source_revision` is the
   /// revision of the source, up to which the listing may be incomplete.
   void apply(const item_listing& listing, revision source_revision,
@@ -110,8 +116,14 @@
   void publish(const item_listing& listing, time_point now, spread_output& out);
   void send_inquiry(time_point now, spread_output& out);
   void fetch_unlisted(time_point now, spread_output& out);
+  /// Returns a member that has not been asked for unlisted items lately.
+  std::optional<endpoint> next_to_ask();
+  void on_unlisted(const fetch_request& request, const spread_message* answer,
+                   time_point now, spread_output& out);
   void fetch_missing(time_point now, spread_output& out);
+  /// Whether changes may be fetched now.
   bool can_fetch(time_point now, const spread_output& out) const;
+  bool is_fetching(const spread_output& out) const;
   void start_fetch(const fetch_request& request, spread_output& out);
   /// Returns a listing without items at the revision of the replica.
   item_listing empty_listing() const;
@@ -136,10 +148,7 @@
   time_point next_fetch_;
   /// Only one fetch runs at a time.
   std::optional<fetch_request> pending_fetch_;
-  /// Fetches left of the items that the store does not list. One goes to a
-  /// member of this data centre and one to another data centre, because a
-  /// member that has just started knows none of them either.
-  int unlisted_fetches_left_ = unlisted_fetches;
+  history_search history_;
   std::optional<time_point> missing_since_;
   /// Messages and answers received earlier confirm nothing, because they may
   /// have been queued during a stall.
--- a/include/rosemarydrum/spread/spread_output.h
+++ b/include/rosemarydrum/spread/spread_output.h
@@ -30,6 +30,8 @@
   fetch_kind kind = fetch_kind::newer;
   /// For `newer`: the requester's revision.
   revision after{};
+  /// The fetch fails if it takes longer.
+  duration deadline = milliseconds(1500);
 };
 
 /// Actions that a replica_spread requests of its host.
--- a/schema/spread.capnp
+++ b/schema/spread.capnp
@@ -39,6 +39,8 @@
 # What the sender has seen and the store does not tell.
 struct MemberHistory {
   flows @0 :List(FlowRecord);
+  # For how long the sender has known all removals.
+  coveredMs @1 :UInt32;
 }
 
 struct SpreadMessage {
--- a/src/forwarding/fleet_agent.cc
+++ b/src/forwarding/fleet_agent.cc
@@ -1,5 +1,6 @@
 #include "rosemarydrum/forwarding/fleet_agent.h"
 
+#include <iterator>
 #include <utility>
 
 #include "rosemarydrum/runtime_clock.h"
@@ -177,7 +178,8 @@
 
 spread_message fleet_agent::unlisted_items(time_point now) const {
   auto message = spread_.unlisted_items(now);
-  std::get<bulletin>(message.body).history = {flows_.all(now)};
+  std::get<bulletin>(message.body).history = {flows_.all(now),
+                                              spread_.history_covered(now)};
   return message;
 }
 
@@ -213,8 +215,13 @@
   }
 }
 
-void fleet_agent::send_update(const std::vector<kv_item>& new_items,
-                              time_point now) {
+void fleet_agent::send_update(std::vector<kv_item>& new_items, time_point now) {
+  unsent_items_.insert(unsent_items_.end(),
+                       std::make_move_iterator(new_items.begin()),
+                       std::make_move_iterator(new_items.end()));
+  if (spread_.awaits_history(now)) {
+    return;
+  }
   auto update = update_without_changes();
   const bool is_fresh_now = spread_.is_fresh(now);
   update.reconnected = is_fresh_now && !was_fresh_;
@@ -222,7 +229,7 @@
   if (update.reconnected && std::exchange(has_been_fresh_, true)) {
     lapse_grace_until_ = now + lapse_grace;
   }
-  for (const auto& item : new_items) {
+  for (const auto& item : std::exchange(unsent_items_, {})) {
     if (auto change = decode(item, now)) {
       update.changes.push_back(std::move(*change));
     }
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -49,7 +49,7 @@
       before != revision{} && replica_.at().era != before.era;
   if (was_restored) {
     // Others may know later versions of what the store has lost.
-    unlisted_fetches_left_ = unlisted_fetches;
+    history_.repeat();
   }
   if (is_reading_) {
     publish(was_restored ? replica_.changes_after(before) : listing, now, out);
@@ -63,7 +63,14 @@
 void replica_spread::apply(const item_listing& listing,
                            revision source_revision, time_point confirmed_at,
                            time_point now, spread_output& out) {
+  const auto before = replica_.at();
+  const bool has_gap =
+      listing.complete && now - replica_.confirmed_at() > settings_.max_age;
   auto updated = replica_.apply(listing, now);
+  if (replica_.at() != before &&
+      (before == revision{} || (has_gap && replica_.at().era == before.era))) {
+    history_.begin(replica_.at(), now);
+  }
   const bool includes_source = replica_.at() >= source_revision &&
                                replica_.at().era == source_revision.era;
   if (includes_source && now >= stall_drained_at_) {
--- a/src/spread/replica_spread_requests.cc
+++ b/src/spread/replica_spread_requests.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "rosemarydrum/spread/replica_spread.h"
@@ -16,7 +17,11 @@
 }  // namespace
 
 bool replica_spread::can_fetch(time_point now, const spread_output& out) const {
-  return !pending_fetch_ && !out.fetch && now >= next_fetch_;
+  return !is_fetching(out) && now >= next_fetch_;
+}
+
+bool replica_spread::is_fetching(const spread_output& out) const {
+  return pending_fetch_ || out.fetch;
 }
 
 void replica_spread::start_fetch(const fetch_request& request,
@@ -28,26 +33,45 @@
 void replica_spread::on_fetched(const std::optional<spread_message>& answer,
                                 time_point now, spread_output& out) {
   const auto request = std::exchange(pending_fetch_, std::nullopt);
-  next_fetch_ = now + fetch_interval;
+  if (!request) {
+    return;
+  }
   const auto* body = answer ? std::get_if<bulletin>(&answer->body) : nullptr;
-  if (!request || body == nullptr) {
+  if (body != nullptr) {
+    apply(body->listing, answer->at, now - body->age, now, out);
+    choice_.on_bulletin(answer->sender, *body, settings_.max_age,
+                        now >= stall_drained_at_, now);
+  }
+  if (request->kind == fetch_kind::unlisted) {
+    on_unlisted(*request, body == nullptr ? nullptr : &*answer, now, out);
     return;
   }
-  apply(body->listing, answer->at, now - body->age, now, out);
-  choice_.on_bulletin(answer->sender, *body, settings_.max_age,
-                      now >= stall_drained_at_, now);
-  const bool has_more =
-      body->listing.at < answer->at && replica_.at() < answer->at;
-  if (request->kind == fetch_kind::newer && has_more &&
-      replica_.at() > request->after) {
+  next_fetch_ = now + fetch_interval;
+  const bool has_more = body != nullptr && body->listing.at < answer->at &&
+                        replica_.at() < answer->at;
+  if (has_more && replica_.at() > request->after) {
     start_fetch({request->from, fetch_kind::newer, replica_.at()}, out);
   }
+}
+
+void replica_spread::on_unlisted(const fetch_request& request,
+                                 const spread_message* answer, time_point now,
+                                 spread_output& out) {
+  if (answer == nullptr) {
+    history_.on_failure();
+    fetch_unlisted(now, out);
+    return;
+  }
+  const auto& history = std::get<bulletin>(answer->body).history;
+  history_.on_answer(answer->at, history ? history->covered : milliseconds(0),
+                     now);
   const bool is_before_restore =
       answer->at != revision{} && answer->at.era < replica_.at().era;
-  if (request->kind == fetch_kind::unlisted && is_before_restore) {
+  if (is_before_restore) {
     // The member does not know yet what the store has lost.
-    start_fetch({request->from, fetch_kind::newer, {}}, out);
+    start_fetch({request.from, fetch_kind::newer, {}}, out);
   }
+  fetch_unlisted(now, out);
 }
 
 void replica_spread::fetch_missing(time_point now, spread_output& out) {
@@ -72,13 +96,42 @@
 // nor what it lost in a restore. A process that has just started fetches these
 // from members that still know them.
 void replica_spread::fetch_unlisted(time_point now, spread_output& out) {
-  if (unlisted_fetches_left_ == 0 || !can_fetch(now, out)) {
+  if (!history_.is_due(now) || is_fetching(out)) {
     return;
   }
-  if (const auto member = random_member(unlisted_fetches_left_ % 2 == 0)) {
-    --unlisted_fetches_left_;
-    start_fetch({member->address, fetch_kind::unlisted, {}}, out);
+  const auto member = next_to_ask();
+  if (!member) {
+    history_.on_all_asked(now);
+    return;
+  }
+  fetch_request request{*member, fetch_kind::unlisted, {}};
+  request.deadline = history_.on_asked(*member);
+  start_fetch(request, out);
+}
+
+std::optional<endpoint> replica_spread::next_to_ask() {
+  std::vector<endpoint> preferred;
+  std::vector<endpoint> others;
+  const auto add = [&](const endpoint& member, bool is_preferred) {
+    const auto& asked = history_.asked();
+    if (member != settings_.self.address &&
+        std::find(asked.begin(), asked.end(), member) == asked.end()) {
+      (is_preferred ? preferred : others).push_back(member);
+    }
+  };
+  for (const auto& [name, member] : members_) {
+    const bool is_local = member.data_centre == settings_.self.data_centre;
+    add(member.address, is_local == history_.prefers_local());
   }
+  if (members_.size() <= 1) {
+    for (const auto& seed : settings_.seeds) {
+      add(seed, false);
+    }
+  }
+  const auto& candidates = preferred.empty() ? others : preferred;
+  return candidates.empty()
+             ? std::nullopt
+             : std::optional(candidates[random_() % candidates.size()]);
 }
 
 void replica_spread::send_inquiry(time_point now, spread_output& out) {
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -72,10 +72,11 @@
 void write(const member_history& history, wire::MemberHistory::Builder to) {
   write(history.flows,
         to.initFlows(static_cast<unsigned>(history.flows.size())));
+  to.setCoveredMs(static_cast<std::uint32_t>(history.covered.count()));
 }
 
 member_history read(wire::MemberHistory::Reader from) {
-  return {read(from.getFlows())};
+  return {read(from.getFlows()), milliseconds(from.getCoveredMs())};
 }
 
 void write(const bulletin& body,
--- a/test/fleet/simulated_fleet.cc
+++ b/test/fleet/simulated_fleet.cc
@@ -12,7 +12,6 @@
 constexpr milliseconds tick_interval{50};
 constexpr milliseconds health_check_interval{500};
 constexpr int max_missed_health_checks = 2;
-constexpr milliseconds fetch_deadline{1500};
 constexpr std::uint16_t peer_port = 7700;
 constexpr std::size_t max_seeds = 3;
 /// Upstreams repeat an unanswered handshake, each time after twice the wait.
@@ -114,7 +113,8 @@
                 [&requester, message] { requester.receive_fetched(message); });
     return;
   }
-  clock.after(fetch_deadline, [&requester] { requester.receive_fetched({}); });
+  clock.after(request.deadline,
+              [&requester] { requester.receive_fetched({}); });
 }
 
 void simulated_fleet::schedule_tick(test_node& node) {
--- a/test/fleet_cold-test.cc
+++ b/test/fleet_cold-test.cc
@@ -25,6 +25,9 @@
   const char* name;
   std::vector<std::string> nodes;
   milliseconds start_at;
+  milliseconds store_latency{4};
+  /// Processes that are lost for good, 0.1 s before the end.
+  std::vector<std::string> lost{};
 };
 
 std::ostream& operator<<(std::ostream& out, const restart_near_return& each) {
@@ -40,8 +43,14 @@
   for (const auto& name : restarted.nodes) {
     fleet.clock.after(restarted.start_at + milliseconds(100),
                       [&fleet, name] { fleet.kill(name); });
-    fleet.clock.after(restarted.start_at + milliseconds(500),
-                      [&fleet, name] { fleet.restart(name); });
+    fleet.clock.after(
+        restarted.start_at + milliseconds(500), [&fleet, &restarted, name] {
+          fleet.restart(name);
+          fleet.nodes.at(name)->client.latency = restarted.store_latency;
+        });
+  }
+  for (const auto& name : restarted.lost) {
+    fleet.clock.after(milliseconds(400), [&fleet, name] { fleet.kill(name); });
   }
   fleet.run_for(milliseconds(500));
   fleet.end_evacuation("south");
@@ -65,6 +74,40 @@
   check_openings(fleet, {"c0", "c1", "c2"});
 }
 
+const std::vector<restart_near_return> restarts_among_others{
+    {"the data centre", {"south-1", "south-2"}, milliseconds(100)},
+    {"two thirds",
+     {"south-1", "south-2", "centre-1", "north-2"},
+     milliseconds(100)},
+    {"all but one",
+     {"south-1", "south-2", "centre-1", "north-1", "north-2"},
+     milliseconds(100)},
+    {"the store is slow",
+     {"south-1", "south-2"},
+     milliseconds(100),
+     milliseconds(200)},
+    {"the peer is lost",
+     {"south-1"},
+     milliseconds(100),
+     milliseconds(4),
+     {"south-2"}},
+    {"the peer is lost and the store slow",
+     {"south-1"},
+     milliseconds(100),
+     milliseconds(200),
+     {"south-2"}},
+};
+
+// FAILBACK: guards against full load on cold upstreams from a process that
+// places flows before a member which knows of the return has told it.
+BOOST_DATA_TEST_CASE(starting_forwarders_ask_members_that_know_the_return,
+                     boost::unit_test::data::make(restarts_among_others),
+                     restarted) {
+  three_data_centres fleet;
+  play(fleet, restarted);
+  check_openings(fleet, {"c0", "c1", "c2"});
+}
+
 // RECOVER: guards against warm upstreams that count as cold after all processes
 // have been restarted at once, because their data centre had once been out.
 BOOST_FIXTURE_TEST_CASE(a_restarted_fleet_uses_warm_upstreams,
--- a/test/replica_spread-test.cc
+++ b/test/replica_spread-test.cc
@@ -181,6 +181,40 @@
   BOOST_CHECK(out.fetch);
 }
 
+// FAILBACK: guards against a process that asks for the items which the store
+// does not list only half a second after it has fetched changes.
+BOOST_FIXTURE_TEST_CASE(unlisted_items_are_asked_for_at_once, single_spread) {
+  bulletin body;
+  body.listing.after = revision(12);
+  receive_bulletin(body, 13);
+  BOOST_REQUIRE(out.fetch);
+  BOOST_CHECK(out.fetch->kind == fetch_kind::newer);
+  out = {};
+  spread.on_fetched({}, clock.now(), out);
+  spread.tick(clock.now(), out);
+  BOOST_REQUIRE(out.fetch);
+  BOOST_CHECK(out.fetch->kind == fetch_kind::unlisted);
+}
+
+// FAILBACK: guards against a process that knows no member, because the records
+// of all have lapsed, and does not ask the seeds either.
+BOOST_AUTO_TEST_CASE(seeds_are_asked_for_unlisted_items) {
+  scheduler clock;
+  item_replica replica(seconds(60));
+  const endpoint self{2, 7700};
+  const endpoint seed{9, 7700};
+  replica_spread spread(
+      {{"n-2", "north", self, 1}, incarnation(1), {self, seed}}, replica,
+      clock.now());
+  spread_output out;
+  spread.on_store_answer({{}, true, {}, revision(10)}, clock.now(), clock.now(),
+                         out);
+  spread.tick(clock.now(), out);
+  BOOST_REQUIRE(out.fetch);
+  BOOST_CHECK(out.fetch->kind == fetch_kind::unlisted);
+  BOOST_CHECK(out.fetch->from == seed);
+}
+
 /// A second member that knows many more upstreams.
 struct second_member : single_spread {
   static constexpr int upstream_count = 1000;
--- a/test/spread_message-test.cc
+++ b/test/spread_message-test.cc
@@ -11,6 +11,7 @@
   bulletin body;
   body.reading = true;
   body.age = milliseconds(120);
+  body.history = {{}, milliseconds(9000)};
   body.listing = {
       {{"servers/i-1", "{}", revision(7), false, false, {}},
        {"op/config", "", revision(8), false, true, {}},
@@ -43,6 +44,7 @@
   const auto& expected = std::get<bulletin>(sent.body);
   BOOST_CHECK(body.reading && !body.leaving);
   BOOST_CHECK(body.age == expected.age);
+  BOOST_CHECK(body.history == expected.history);
   BOOST_CHECK(body.listing.items == expected.listing.items);
   BOOST_CHECK(body.listing.after == revision(6));
   BOOST_CHECK(body.listing.at == revision(store_era(2), 8));
