Count members whose records have just lapsed

Cause: the flows to cold upstreams are divided among the members that have a record. When the records of all had lapsed, each member took itself for the only one.

Change: a member whose record was removed counts as one for 10 s more, because a record that lapses with the store says nothing of its process. That holds for the division of cold flows, the reader and the exchange of messages alike. A process that starts learns from others whose records have lapsed lately.

--- a/include/rosemarydrum/spread/replica_spread.h
+++ b/include/rosemarydrum/spread/replica_spread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -85,8 +86,9 @@
   bool is_fresh(time_point now) const;
   /// Number of members of this data centre that outrank this one as a reader.
   std::size_t rank() const { return choice_.rank(); }
+  /// Returns the members that have a record, or had one until lately.
   const member_map& members() const { return members_; }
-  /// Increases with each change of a member record.
+  /// Increases with each change of the members.
   std::uint64_t members_version() const { return members_version_; }
   /// Returns a message with this member as the sender.
   spread_message make_message(decltype(spread_message::body) body) const;
@@ -107,8 +109,10 @@
   /// revision of the source, up to which the listing may be incomplete.
   void apply(const item_listing& listing, revision source_revision,
              time_point confirmed_at, time_point now, spread_output& out);
-  void report_updated(std::vector<kv_item> updated, spread_output& out);
-  void update_members(const std::vector<kv_item>& updated);
+  void report_updated(std::vector<kv_item> updated, time_point now,
+                      spread_output& out);
+  void update_members(const std::vector<kv_item>& updated, time_point now);
+  void forget_lapsed_members(time_point now);
   void on_bulletin(const endpoint& from, const spread_message& message,
                    const bulletin& body, time_point now, spread_output& out);
   void answer_inquiry(const endpoint& to, revision after, time_point now,
@@ -134,6 +138,8 @@
   item_replica& replica_;
   std::minstd_rand random_;
   member_map members_;
+  /// When the records of members were removed that still count as such.
+  std::map<std::string, time_point> lapsed_members_;
   std::uint64_t members_version_ = 0;
   reader_choice choice_;
   /// This member does not read the store before this time, so that members
--- a/src/spread/replica_spread.cc
+++ b/src/spread/replica_spread.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "listing_parts.h"
-#include "rosemarydrum/spread/member_codec.h"
 
 namespace rosemarydrum {
 namespace {
@@ -25,8 +24,6 @@
 constexpr std::size_t max_answer_datagrams = 4;
 /// A link of 10 Mbit/s transfers a page of this size in about 50 ms.
 constexpr std::size_t max_page_bytes = 64 << 10;
-/// Members of other data centres that are told of a flow.
-constexpr std::size_t max_remote_flow_peers = 8;
 
 }  // namespace
 
@@ -76,32 +73,17 @@
   if (includes_source && now >= stall_drained_at_) {
     replica_.confirm(confirmed_at);
   }
-  report_updated(std::move(updated), out);
+  report_updated(std::move(updated), now, out);
 }
 
 void replica_spread::report_updated(std::vector<kv_item> updated,
-                                    spread_output& out) {
-  update_members(updated);
+                                    time_point now, spread_output& out) {
+  update_members(updated, now);
   out.updated_items.insert(out.updated_items.end(),
                            std::make_move_iterator(updated.begin()),
                            std::make_move_iterator(updated.end()));
 }
 
-void replica_spread::update_members(const std::vector<kv_item>& updated) {
-  for (const auto& item : updated) {
-    if (!item.key.starts_with(members_prefix)) {
-      continue;
-    }
-    ++members_version_;
-    if (const auto member =
-            item.removed ? std::nullopt : decode_member(item.key, item.value)) {
-      members_[member->name] = *member;
-    } else {
-      members_.erase(item.key.substr(members_prefix.size()));
-    }
-  }
-}
-
 void replica_spread::on_message(const endpoint& from,
                                 const spread_message& message, time_point now,
                                 spread_output& out) {
@@ -203,7 +185,8 @@
   }
   fetch_missing(now, out);
   fetch_unlisted(now, out);
-  report_updated(replica_.settle(now), out);
+  report_updated(replica_.settle(now), now, out);
+  forget_lapsed_members(now);
 }
 
 void replica_spread::update_reading(time_point now) {
@@ -259,33 +242,4 @@
   return now - replica_.confirmed_at() < settings_.max_age / 2;
 }
 
-std::optional<endpoint> replica_spread::reader(time_point now) const {
-  const auto* member = choice_.reader(now);
-  return member == nullptr ? std::nullopt : std::optional(member->address);
-}
-
-std::vector<endpoint> replica_spread::flow_peers() {
-  std::vector<endpoint> remote;
-  for (const auto& [name, member] : members_) {
-    if (member.data_centre != settings_.self.data_centre) {
-      remote.push_back(member.address);
-    }
-  }
-  auto to = data_centre_peers();
-  std::sample(remote.begin(), remote.end(), std::back_inserter(to),
-              max_remote_flow_peers, random_);
-  return to;
-}
-
-std::vector<endpoint> replica_spread::data_centre_peers() const {
-  std::vector<endpoint> to;
-  for (const auto& [name, member] : members_) {
-    if (name != settings_.self.name &&
-        member.data_centre == settings_.self.data_centre) {
-      to.push_back(member.address);
-    }
-  }
-  return to;
-}
-
 }  // namespace rosemarydrum
--- a/src/spread/replica_spread_requests.cc
+++ b/src/spread/replica_spread_requests.cc
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <utility>
 
 #include "rosemarydrum/spread/replica_spread.h"
@@ -109,31 +108,6 @@
   start_fetch(request, out);
 }
 
-std::optional<endpoint> replica_spread::next_to_ask() {
-  std::vector<endpoint> preferred;
-  std::vector<endpoint> others;
-  const auto add = [&](const endpoint& member, bool is_preferred) {
-    const auto& asked = history_.asked();
-    if (member != settings_.self.address &&
-        std::find(asked.begin(), asked.end(), member) == asked.end()) {
-      (is_preferred ? preferred : others).push_back(member);
-    }
-  };
-  for (const auto& [name, member] : members_) {
-    const bool is_local = member.data_centre == settings_.self.data_centre;
-    add(member.address, is_local == history_.prefers_local());
-  }
-  if (members_.size() <= 1) {
-    for (const auto& seed : settings_.seeds) {
-      add(seed, false);
-    }
-  }
-  const auto& candidates = preferred.empty() ? others : preferred;
-  return candidates.empty()
-             ? std::nullopt
-             : std::optional(candidates[random_() % candidates.size()]);
-}
-
 void replica_spread::send_inquiry(time_point now, spread_output& out) {
   next_inquiry_ = now + inquiry_interval;
   std::vector<endpoint> to;
@@ -150,19 +124,4 @@
   }
 }
 
-std::optional<member_record> replica_spread::random_member(bool local) {
-  std::vector<const member_record*> preferred;
-  std::vector<const member_record*> others;
-  for (const auto& [name, member] : members_) {
-    if (name != settings_.self.name) {
-      const bool is_local = member.data_centre == settings_.self.data_centre;
-      (is_local == local ? preferred : others).push_back(&member);
-    }
-  }
-  const auto& candidates = preferred.empty() ? others : preferred;
-  return candidates.empty()
-             ? std::nullopt
-             : std::optional(*candidates[random_() % candidates.size()]);
-}
-
 }  // namespace rosemarydrum
--- a/test/fleet_cold-test.cc
+++ b/test/fleet_cold-test.cc
@@ -1,8 +1,10 @@
 #define BOOST_TEST_MODULE fleet_cold
+#include <algorithm>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "fleet/three_data_centres.h"
+#include "rosemarydrum/spread/member_codec.h"
 
 // Flows to cold upstreams while forwarders do not know all that others know.
 namespace rosemarydrum {
@@ -108,6 +110,58 @@
   check_openings(fleet, {"c0", "c1", "c2"});
 }
 
+/// Twelve forwarders whose records lapse during an outage of the store.
+struct lapsed_records : three_data_centres {
+  lapsed_records() {
+    for (const std::string centre : {"north", "centre", "south"}) {
+      add_node(centre + "-3", centre, small);
+      add_node(centre + "-4", centre, small);
+    }
+    run_for(seconds(12));
+    for (auto& [name, node] : nodes) {
+      node->client.fault = store_fault::refuses;
+    }
+    run_for(seconds(4));
+    for (auto& [name, node] : nodes) {
+      store.remove(member_key(name));
+      // Records are written again only after two calls.
+      node->client.latency = milliseconds(400);
+    }
+    for (auto& [hex_id, upstream] : upstreams) {
+      upstream->entry.cold_ms = 4000;
+      write_entry(hex_id);
+    }
+    for (auto& [name, node] : nodes) {
+      node->client.fault = store_fault::none;
+    }
+    while (!all_know_the_lapse()) {
+      run_for(milliseconds(10));
+    }
+  }
+
+  bool all_know_the_lapse() const {
+    return std::all_of(nodes.begin(), nodes.end(), [](const auto& each) {
+      const auto& [name, node] = each;
+      const auto* stored = node->agent().replica().find(member_key(name));
+      return stored != nullptr && stored->removed;
+    });
+  }
+};
+
+// FAILBACK: guards against members that all take themselves for the only one,
+// because the records of all have lapsed.
+BOOST_FIXTURE_TEST_CASE(lapsed_members_share_the_budget_of_cold_upstreams,
+                        lapsed_records) {
+  load(120, seconds(2));
+  run_for(milliseconds(2100));
+  std::size_t opened = 0;
+  for (const auto& [hex_id, upstream] : upstreams) {
+    check_openings(*this, {hex_id});
+    opened += upstream->openings.size();
+  }
+  BOOST_CHECK_GT(opened, 0U);
+}
+
 // RECOVER: guards against warm upstreams that count as cold after all processes
 // have been restarted at once, because their data centre had once been out.
 BOOST_FIXTURE_TEST_CASE(a_restarted_fleet_uses_warm_upstreams,
--- a/test/replica_spread-test.cc
+++ b/test/replica_spread-test.cc
@@ -215,6 +215,68 @@
   BOOST_CHECK(out.fetch->from == seed);
 }
 
+// Guards against members that no longer count because their records have lapsed
+// with the store, and against members that count for ever.
+BOOST_FIXTURE_TEST_CASE(members_count_for_a_while_without_a_record,
+                        single_spread) {
+  const auto remove = [this](std::uint64_t at) {
+    spread.on_store_answer({{{member_key("n-1"), {}, revision(at), true}},
+                            false,
+                            revision(at - 1),
+                            revision(at)},
+                           clock.now(), clock.now(), out);
+  };
+  remove(11);
+  clock.run_for(milliseconds(9999));
+  spread.tick(clock.now(), out);
+  BOOST_REQUIRE_EQUAL(spread.members().size(), 2U);
+  BOOST_CHECK(spread.members().at("n-1").capacity == 500U);
+  const auto version = spread.members_version();
+  clock.run_for(milliseconds(1));
+  spread.tick(clock.now(), out);
+  BOOST_CHECK_EQUAL(spread.members().size(), 1U);
+  BOOST_CHECK_GT(spread.members_version(), version);
+  // A record that is written again stays.
+  auto written = listing.items[0];
+  written.changed = revision(12);
+  spread.on_store_answer({{written}, false, revision(11), revision(12)},
+                         clock.now(), clock.now(), out);
+  remove(13);
+  written.changed = revision(14);
+  spread.on_store_answer({{written}, false, revision(13), revision(14)},
+                         clock.now(), clock.now(), out);
+  clock.run_for(seconds(20));
+  spread.tick(clock.now(), out);
+  BOOST_CHECK_EQUAL(spread.members().size(), 2U);
+}
+
+// Guards against a process that starts and counts members which left long ago.
+BOOST_FIXTURE_TEST_CASE(members_that_left_earlier_do_not_count, single_spread) {
+  auto gone = listing.items[0];
+  gone.key = member_key("n-3");
+  gone.removed = true;
+  bulletin body;
+  body.listing.items = {gone};
+  receive_bulletin(body, 10);
+  BOOST_CHECK_EQUAL(spread.members().size(), 2U);
+  body.listing.items[0].removed_for = seconds(10);
+  receive_bulletin(body, 10);
+  BOOST_CHECK_EQUAL(spread.members().size(), 2U);
+}
+
+// FAILBACK: guards against a process that starts while all records have lapsed
+// and takes itself for the only member.
+BOOST_FIXTURE_TEST_CASE(lapsed_members_are_learned, single_spread) {
+  auto lapsed = listing.items[0];
+  lapsed.key = member_key("n-3");
+  lapsed.removed = true;
+  lapsed.removed_for = seconds(1);
+  bulletin body;
+  body.listing.items = {lapsed};
+  receive_bulletin(body, 10);
+  BOOST_CHECK_EQUAL(spread.members().size(), 3U);
+}
+
 /// A second member that knows many more upstreams.
 struct second_member : single_spread {
   static constexpr int upstream_count = 1000;
