--- a/include/rosemarydrum/spread/replica_spread.h
+++ b/include/rosemarydrum/spread/replica_spread.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 #include "rosemarydrum/forwarding/flow_packet.h"
+#include "rosemarydrum/spread/history_search.h"
 #include "rosemarydrum/spread/member_record.h"
 #include "rosemarydrum/spread/reader_choice.h"
 #include "rosemarydrum/spread/spread_message.h"
@@ -72,13 +74,21 @@
   spread_message changes_after(revision after, time_point now) const;
   /// Returns `item_replica::unlisted()`.
   spread_message unlisted_items(time_point now) const;
+  /// Whether a process that starts should not place flows yet, because other
+  /// members may tell it soon what the store does not list.
+  bool awaits_history(time_point now) const { return history_.is_awaited(now); }
+  /// For how long this process knows all removals.
+  milliseconds history_covered(time_point now) const {
+    return std::chrono::duration_cast<milliseconds>(history_.covered(now));
+  }
   /// Whether the store or a member that reads it has confirmed the replica
   /// within half of the maximum age.
   bool is_fresh(time_point now) const;
   /// Number of members of this data centre that outrank this one as a reader.
   std::size_t rank() const { return choice_.rank(); }
+  /// Returns the members that have a record, or had one until lately.
   const member_map& members() const { return members_; }
-  /// Increases with each change of a member record.
+  /// Increases with each change of the members.
   std::uint64_t members_version() const { return members_version_; }
   /// Returns a message with this member as the sender.
   spread_message make_message(decltype(spread_message::body) body) const;
@@ -95,14 +105,14 @@
   std::optional<member_record> random_member(bool local);
 
  private:
-  static constexpr int unlisted_fetches = 2;
-
   /// Applies a listing to the replica and the members. `source_revision` is the
   /// revision of the source, up to which the listing may be incomplete.
   void apply(const item_listing& listing, revision source_revision,
              time_point confirmed_at, time_point now, spread_output& out);
-  void report_updated(std::vector<kv_item> updated, spread_output& out);
-  void update_members(const std::vector<kv_item>& updated);
+  void report_updated(std::vector<kv_item> updated, time_point now,
+                      spread_output& out);
+  void update_members(const std::vector<kv_item>& updated, time_point now);
+  void forget_lapsed_members(time_point now);
   void on_bulletin(const endpoint& from, const spread_message& message,
                    const bulletin& body, time_point now, spread_output& out);
   void answer_inquiry(const endpoint& to, revision after, time_point now,
@@ -110,8 +120,14 @@
   void publish(const item_listing& listing, time_point now, spread_output& out);
   void send_inquiry(time_point now, spread_output& out);
   void fetch_unlisted(time_point now, spread_output& out);
+  /// Returns a member that has not been asked for unlisted items lately.
+  std::optional<endpoint> next_to_ask();
+  void on_unlisted(const fetch_request& request, const spread_message* answer,
+                   time_point now, spread_output& out);
   void fetch_missing(time_point now, spread_output& out);
+  /// Whether changes may be fetched now.
   bool can_fetch(time_point now, const spread_output& out) const;
+  bool is_fetching(const spread_output& out) const;
   void start_fetch(const fetch_request& request, spread_output& out);
   /// Returns a listing without items at the revision of the replica.
   item_listing empty_listing() const;
@@ -122,6 +138,8 @@
   item_replica& replica_;
   std::minstd_rand random_;
   member_map members_;
+  /// When the records of members were removed that still count as such.
+  std::map<std::string, time_point> lapsed_members_;
   std::uint64_t members_version_ = 0;
   reader_choice choice_;
   /// This member does not read the store before this time, so that members
@@ -136,10 +154,7 @@
   time_point next_fetch_;
   /// Only one fetch runs at a time.
   std::optional<fetch_request> pending_fetch_;
-  /// Fetches left of the items that the store does not list. One goes to a
-  /// member of this data centre and one to another data centre, because a
-  /// member that has just started knows none of them either.
-  int unlisted_fetches_left_ = unlisted_fetches;
+  history_search history_;
   std::optional<time_point> missing_since_;
   /// Messages and answers received earlier confirm nothing, because they may
   /// have been queued during a stall.
--- a/test/fleet_cold-test.cc
+++ b/test/fleet_cold-test.cc
@@ -1,8 +1,10 @@
 #define BOOST_TEST_MODULE fleet_cold
+#include <algorithm>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "fleet/three_data_centres.h"
+#include "rosemarydrum/spread/member_codec.h"
 
 // Flows to cold upstreams while forwarders do not know all that others know.
 namespace rosemarydrum {
@@ -25,6 +27,9 @@
   const char* name;
   std::vector<std::string> nodes;
   milliseconds start_at;
+  milliseconds store_latency{4};
+  /// Processes that are lost for good, 0.1 s before the end.
+  std::vector<std::string> lost{};
 };
 
 std::ostream& operator<<(std::ostream& out, const restart_near_return& each) {
@@ -40,8 +45,14 @@
   for (const auto& name : restarted.nodes) {
     fleet.clock.after(restarted.start_at + milliseconds(100),
                       [&fleet, name] { fleet.kill(name); });
-    fleet.clock.after(restarted.start_at + milliseconds(500),
-                      [&fleet, name] { fleet.restart(name); });
+    fleet.clock.after(
+        restarted.start_at + milliseconds(500), [&fleet, &restarted, name] {
+          fleet.restart(name);
+          fleet.nodes.at(name)->client.latency = restarted.store_latency;
+        });
+  }
+  for (const auto& name : restarted.lost) {
+    fleet.clock.after(milliseconds(400), [&fleet, name] { fleet.kill(name); });
   }
   fleet.run_for(milliseconds(500));
   fleet.end_evacuation("south");
@@ -65,6 +76,92 @@
   check_openings(fleet, {"c0", "c1", "c2"});
 }
 
+const std::vector<restart_near_return> restarts_among_others{
+    {"the data centre", {"south-1", "south-2"}, milliseconds(100)},
+    {"two thirds",
+     {"south-1", "south-2", "centre-1", "north-2"},
+     milliseconds(100)},
+    {"all but one",
+     {"south-1", "south-2", "centre-1", "north-1", "north-2"},
+     milliseconds(100)},
+    {"the store is slow",
+     {"south-1", "south-2"},
+     milliseconds(100),
+     milliseconds(200)},
+    {"the peer is lost",
+     {"south-1"},
+     milliseconds(100),
+     milliseconds(4),
+     {"south-2"}},
+    {"the peer is lost and the store slow",
+     {"south-1"},
+     milliseconds(100),
+     milliseconds(200),
+     {"south-2"}},
+};
+
+// FAILBACK: guards against full load on cold upstreams from a process that
+// places flows before a member which knows of the return has told it.
+BOOST_DATA_TEST_CASE(starting_forwarders_ask_members_that_know_the_return,
+                     boost::unit_test::data::make(restarts_among_others),
+                     restarted) {
+  three_data_centres fleet;
+  play(fleet, restarted);
+  check_openings(fleet, {"c0", "c1", "c2"});
+}
+
+/// Twelve forwarders whose records lapse during an outage of the store.
+struct lapsed_records : three_data_centres {
+  lapsed_records() {
+    for (const std::string centre : {"north", "centre", "south"}) {
+      add_node(centre + "-3", centre, small);
+      add_node(centre + "-4", centre, small);
+    }
+    run_for(seconds(12));
+    for (auto& [name, node] : nodes) {
+      node->client.fault = store_fault::refuses;
+    }
+    run_for(seconds(4));
+    for (auto& [name, node] : nodes) {
+      store.remove(member_key(name));
+      // Records are written again only after two calls.
+      node->client.latency = milliseconds(400);
+    }
+    for (auto& [hex_id, upstream] : upstreams) {
+      upstream->entry.cold_ms = 4000;
+      write_entry(hex_id);
+    }
+    for (auto& [name, node] : nodes) {
+      node->client.fault = store_fault::none;
+    }
+    while (!all_know_the_lapse()) {
+      run_for(milliseconds(10));
+    }
+  }
+
+  bool all_know_the_lapse() const {
+    return std::all_of(nodes.begin(), nodes.end(), [](const auto& each) {
+      const auto& [name, node] = each;
+      const auto* stored = node->agent().replica().find(member_key(name));
+      return stored != nullptr && stored->removed;
+    });
+  }
+};
+
+// FAILBACK: guards against members that all take themselves for the only one,
+// because the records of all have lapsed.
+BOOST_FIXTURE_TEST_CASE(lapsed_members_share_the_budget_of_cold_upstreams,
+                        lapsed_records) {
+  load(120, seconds(2));
+  run_for(milliseconds(2100));
+  std::size_t opened = 0;
+  for (const auto& [hex_id, upstream] : upstreams) {
+    check_openings(*this, {hex_id});
+    opened += upstream->openings.size();
+  }
+  BOOST_CHECK_GT(opened, 0U);
+}
+
 // RECOVER: guards against warm upstreams that count as cold after all processes
 // have been restarted at once, because their data centre had once been out.
 BOOST_FIXTURE_TEST_CASE(a_restarted_fleet_uses_warm_upstreams,
