Let a later removal shorten the grace of an earlier one

Found by the review: an entry removed with a grace, missed in between and removed again without one took new flows until the first grace ended.

--- a/src/forwarding/upstream_directory.cc
+++ b/src/forwarding/upstream_directory.cc
@@ -40,10 +40,10 @@
   }
   known.changed = changed;
   if (change.state == record_state::removed) {
-    if (known.state != listing::gone) {
-      known.state = listing::gone;
-      known.gone_at = now + change.grace;
-    }
+    const time_point gone_at = now + change.grace;
+    const bool was_gone = known.state == listing::gone;
+    known.gone_at = was_gone ? std::min(known.gone_at, gone_at) : gone_at;
+    known.state = listing::gone;
     return index;
   }
   if (change.state == record_state::unreadable) {
