--- a/apps/forwarder/flow_journal.cc
+++ b/apps/forwarder/flow_journal.cc
@@ -231,7 +231,7 @@
 }
 
 void flow_journal::on_limit_change(const limit_change& change, time_point now) {
-  metrics_.limits_set += change.limited ? 1 : 0;
+  metrics_.flow_limits_set += change.limited ? 1 : 0;
   log_.log(
       change.limited ? event_id::flows_limited : event_id::flows_unlimited, now,
       [&] {
--- a/apps/forwarder/forwarder_metrics.h
+++ b/apps/forwarder/forwarder_metrics.h
@@ -32,7 +32,7 @@
   std::uint64_t flows_stalled = 0;
   std::uint64_t upstreams_unresponsive = 0;
   /// How often the new flows of a priority were limited because of an overload.
-  std::uint64_t limits_set = 0;
+  std::uint64_t flow_limits_set = 0;
   std::uint64_t upstreams_ejected = 0;
   std::uint64_t upstreams_restored = 0;
   std::uint64_t upstreams_silent = 0;
--- a/apps/forwarder/metrics_text.cc
+++ b/apps/forwarder/metrics_text.cc
@@ -53,7 +53,7 @@
   page.counter("flows_failed", data.flows_failed);
   page.counter("flows_stalled", data.flows_stalled);
   page.counter("upstreams_unresponsive", data.upstreams_unresponsive);
-  page.counter("flow_limits_set", data.limits_set);
+  page.counter("flow_limits_set", data.flow_limits_set);
   page.counter("upstreams_ejected", data.upstreams_ejected);
   page.counter("upstreams_restored", data.upstreams_restored);
   page.counter("upstreams_silent", data.upstreams_silent);
--- a/include/rosemarydrum/forwarding/loss_estimate.h
+++ b/include/rosemarydrum/forwarding/loss_estimate.h
@@ -8,7 +8,8 @@
 
 namespace rosemarydrum {
 
-/// Stalls of a dead upstream on a network that loses only single packets.
+/// Stalls without an answer in between that show a dead upstream if no packets
+/// were lost lately.
 inline constexpr std::size_t min_stalls_of_dead_upstream = 2;
 
 /// Estimates how often a request to a live upstream must be sent again, because
--- a/include/rosemarydrum/forwarding/packet_verdict.h
+++ b/include/rosemarydrum/forwarding/packet_verdict.h
@@ -34,9 +34,8 @@
   /// Upstreams of the service accept flows but do not answer this process.
   /// Other forwarders may reach them.
   unreachable,
-  /// Upstreams of the service reject requests, and the route is less urgent
-  /// than
-  /// others.
+  /// Upstreams of the service reject requests, and other routes are more
+  /// urgent.
   overloaded,
   /// As `no_upstream`, but the fleet's state has not been confirmed lately.
   outdated,
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -38,15 +38,14 @@
 inline constexpr double remote_flow_penalty = 1.25;
 /// Load of an open flow without a request, relative to one with a request.
 inline constexpr double idle_flow_load = 1.0 / 16;
-/// Load of each recent failure that members of the data centre have counted, in
-/// excess of `ignored_failures`, with which a single faulty upstream is
-/// ejected. New flows so move to upstreams, also of other data centres, that
-/// reject fewer requests.
+/// Load of one recent failure of an upstream, as counted by the members of this
+/// data centre, beyond `ignored_failures`. New flows so move to upstreams, also
+/// of other data centres, that reject fewer requests.
 inline constexpr double failed_flow_load = 1.0 / 8;
 inline constexpr double ignored_failures = 3;
 
-/// Upstreams listed this long after the first one have just started, or were
-/// not reachable before.
+/// An upstream that is first listed this long after the process's first one has
+/// started or become reachable. Earlier ones may have run for long.
 inline constexpr milliseconds first_listing_time{1000};
 
 /// An upstream has entered or left slow start.
--- a/src/events/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -292,8 +292,9 @@
      "This process is available again after `service_unable`.",
      "configuration era revision age_ms"},
     {flows_limited, "flows_limited", warning,
-     "Most upstreams of the service reject requests, `rejected_percent` of "
-     "them lately: only a part of the new flows of routes with this priority "
+     "Many upstreams of the service reject requests; `rejected_percent` of "
+     "the recent requests were rejected. Only a part of the new flows of "
+     "routes with this priority "
      "is admitted, so that more urgent ones find room.",
      "service priority rejected_percent configuration era revision age_ms"},
     {flows_unlimited, "flows_unlimited", info,
