Keep a late answer from corrupting the list of members that were asked

Cause: history_search removes the member that is behind from the end of its list, but the list is emptied when the search begins again while that member is being asked. Removing from an empty list lets the next entry be written before its memory.

Change: the member itself is removed, if it is listed.

--- a/include/rosemarydrum/spread/history_search.h
+++ b/include/rosemarydrum/spread/history_search.h
@@ -45,6 +45,8 @@
 
   bool has_begun_ = false;
   bool is_pending_ = false;
+  /// The member that was asked last.
+  endpoint pending_{};
   /// Revision and time from which this process has seen all changes itself.
   revision seen_from_{};
   /// All removals since then are known.
--- a/src/spread/history_search.cc
+++ b/src/spread/history_search.cc
@@ -48,6 +48,7 @@
 
 duration history_search::on_asked(const endpoint& member) {
   is_pending_ = true;
+  pending_ = member;
   asked_.push_back(member);
   const auto deadline = first_deadline * (1 << asks_);
   ++asks_;
@@ -59,7 +60,7 @@
   if (at < seen_from_) {
     // It may miss what was removed just before this process read the items.
     next_ask_ = now + catch_up_time;
-    asked_.pop_back();
+    std::erase(asked_, pending_);
     return;
   }
   ++answers_;
--- a/test/history_search-test.cc
+++ b/test/history_search-test.cc
@@ -97,5 +97,18 @@
   BOOST_CHECK(!search.is_awaited(at(60'000)));
 }
 
+// Guards against memory that is overwritten when the search begins again while
+// a member is being asked, and that member then turns out to be behind.
+BOOST_FIXTURE_TEST_CASE(a_late_answer_after_a_new_start, fixture) {
+  search.on_asked(member(1));
+  search.begin(revision(20), at(10));
+  BOOST_CHECK(search.asked().empty());
+  search.on_answer(revision(15), seconds(30), at(20));
+  BOOST_CHECK(search.asked().empty());
+  search.on_asked(member(2));
+  BOOST_REQUIRE_EQUAL(search.asked().size(), 1U);
+  BOOST_CHECK(search.asked().front() == member(2));
+}
+
 }  // namespace
 }  // namespace rosemarydrum
