--- a/test/forwarder_stalls-test.cc
+++ b/test/forwarder_stalls-test.cc
@@ -284,8 +284,10 @@
   for (const std::uint64_t key : {1, 2, 4}) {
     waiting.push_back(session_at(upstream_key(key), 110));
   }
+  constexpr int flows = 12;
   std::vector<std::uint16_t> lost;
-  for (int i = 0; i < 12; ++i) {
+  lost.reserve(flows);
+  for (int i = 0; i < flows; ++i) {
     lost.push_back(session_at(dead, 120));
   }
   run_until(300);
