--- a/test/stall_detector-test.cc
+++ b/test/stall_detector-test.cc
@@ -105,7 +105,8 @@
 // upstreams retransmit at once, and their copies are lost as well.
 BOOST_FIXTURE_TEST_CASE(joint_retransmissions_pause_the_verdict, fixture) {
   for (std::uint32_t i = 0; i < joint_retransmissions; ++i) {
-    detector.on_retransmission(upstream_index(10 + i), at(200 + 5 * i));
+    detector.on_retransmission(upstream_index(10 + i),
+                               at(200 + 5 * static_cast<int>(i)));
   }
   BOOST_CHECK(!stall(10));
   BOOST_CHECK(!stall(20));
@@ -121,7 +122,8 @@
 // Guards against a verdict after the pause on an upstream that has answered.
 BOOST_FIXTURE_TEST_CASE(answers_in_the_pause_end_the_suspicion, fixture) {
   for (std::uint32_t i = 0; i < joint_retransmissions; ++i) {
-    detector.on_retransmission(upstream_index(10 + i), at(200 + 5 * i));
+    detector.on_retransmission(upstream_index(10 + i),
+                               at(200 + 5 * static_cast<int>(i)));
   }
   BOOST_CHECK(!stall(10));
   BOOST_CHECK(!stall(20));
@@ -132,7 +134,8 @@
 // Guards against a pause without end while many upstreams are dead.
 BOOST_FIXTURE_TEST_CASE(the_pause_is_not_renewed_at_once, fixture) {
   for (std::uint32_t i = 0; i < 100; ++i) {
-    detector.on_retransmission(upstream_index(10 + i % 10), at(200 + 10 * i));
+    detector.on_retransmission(upstream_index(10 + i % 10),
+                               at(200 + 10 * static_cast<int>(i)));
   }
   BOOST_CHECK(!stall(10));
   BOOST_CHECK(!stall(20));
@@ -171,7 +174,8 @@
 // was cut off.
 BOOST_FIXTURE_TEST_CASE(a_restart_ends_postponed_verdicts, fixture) {
   for (std::uint32_t i = 0; i < joint_retransmissions; ++i) {
-    detector.on_retransmission(upstream_index(10 + i), at(200 + 5 * i));
+    detector.on_retransmission(upstream_index(10 + i),
+                               at(200 + 5 * static_cast<int>(i)));
   }
   stall(10);
   stall(20);
