review: cold backends get a warm one's flows while the store is down

Cause: a backend that crashes for a moment and starts again under its id is taken for warm by each machine that had no two handshakes unanswered. Nothing is fixed.

--- a/review/standins-2/store.cc
+++ b/review/standins-2/store.cc
@@ -105,7 +105,9 @@
       self->timer.expires_after(answer_time);
       self->timer.async_wait([self, given](auto) { self->write(given); });
     };
-    if (path == "/v1/kv-watch") {
+    if (owner.busy) {
+      reply({503, {}});
+    } else if (path == "/v1/kv-watch") {
       owner.watch(query, reply);
     } else {
       reply(owner.run(std::string(request.method_string()), path, query,
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -32,6 +32,10 @@
     return acceptor_.local_endpoint();
   }
 
+  /// While set, the store is down: it answers 503 to all calls, and nothing is
+  /// done. Stand-ins of backends then write nothing either.
+  bool busy = false;
+
   std::uint64_t write(const std::string& key, const std::string& value,
                       std::uint64_t lease = 0);
   std::uint64_t remove(const std::string& key);
--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -166,7 +166,7 @@
   store.write("op/config", json::serialize(config));
 }
 
-void world::write_entry(const backend& each, const std::string& state) {
+void world::write_entry(const backend& each, int cold_ms) {
   store.write("servers/" + each.id,
               json::serialize(json::object{
                   {"Service", each.service},
@@ -174,10 +174,31 @@
                   {"Zone", each.zone},
                   {"Version", "v1"},
                   {"Concurrency", backend_slots},
-                  {"State", state},
-                  {"WarmupLeftMs", 0},
+                  {"State", "ready"},
+                  {"WarmupLeftMs", cold_ms},
                   {"Seq", 4},
-                  {"born", 1792453823985}}));
+                  {"born", 1'792'453'823'985 + each.incarnation}}));
+}
+
+void world::crash(backend& each) {
+  record("crash of " + each.id);
+  each.alive = false;
+  each.disturbed = std::chrono::steady_clock::now();
+  each.flows.clear();
+  each.queue.clear();
+  for (auto& [key, flow] : flows) {
+    if (flow->owner == &each) {
+      flow->owner = nullptr;
+    }
+  }
+}
+
+void world::restart(backend& each) {
+  record("start of " + each.id);
+  each.alive = true;
+  ++each.incarnation;
+  each.busy = 0;
+  each.disturbed = std::chrono::steady_clock::now();
 }
 
 // Fills in deploy/forwarder.conf as DEPLOY.md describes it.
@@ -413,6 +434,10 @@
       flow.first = static_cast<std::uint32_t>(random());
       flow.sent = flow.acked = flow.pushed = flow.first + 1;
       flow.received = from.seq + 1;
+      flow.opening_arrived = std::chrono::steady_clock::now();
+      if (const auto client = flows.find(key); client != flows.end()) {
+        flow.opening_sent = client->second->opening_sent;
+      }
     }
     flow.echo = from.echo;
     after(at.handshake_time, [this, &at, key, reply]() mutable {
@@ -454,6 +479,7 @@
   }
   if (!flow.open) {
     flow.open = true;
+    on_opened(at, flow);
     if (client != flows.end()) {
       client->second->owner = &at;
       client->second->opened = std::chrono::steady_clock::now();
@@ -482,7 +508,10 @@
         record("request " + id + " has run " + std::to_string(runs[id]) +
                " times");
       }
-      after(ms(work(id)), [this, &at, key, id] {
+      after(ms(work(id)), [this, &at, key, id, run = at.incarnation] {
+        if (run != at.incarnation) {
+          return;
+        }
         answer(at, key, id, 200);
         --at.busy;
         run_next(at);
@@ -512,7 +541,10 @@
   ++at.busy;
   ++runs[job.id];
   record("run " + job.id + " at " + at.id);
-  after(ms(work(job.id)), [this, &at, job] {
+  after(ms(work(job.id)), [this, &at, job, run = at.incarnation] {
+    if (run != at.incarnation) {
+      return;
+    }
     answer(at, job.key, job.id, 200);
     --at.busy;
     run_next(at);
@@ -642,6 +674,7 @@
 
 void world::send_open(std::weak_ptr<client_flow> weak, std::uint32_t copy) {
   if (const auto flow = weak.lock(); flow && !flow->open && !flow->closed) {
+    flow->opening_sent = std::chrono::steady_clock::now();
     send(*flow, syn, copy, "", flow->first);
   }
 }
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -67,6 +67,9 @@
     std::string unacked;
     int tries = 0;
     std::uint64_t timer = 0;
+    /// When its opening packet was sent and when it arrived.
+    moment opening_sent;
+    moment opening_arrived;
   };
   struct job {
     flow_key key;
@@ -78,7 +81,8 @@
   std::string zone;
   std::string ip;
   bool alive = true;
-  bool draining = false;
+  /// Number of its present start; work of an earlier one has no effect.
+  int incarnation = 0;
   bool listening = true;
   /// Time from an opening packet to its answer.
   ms handshake_time{0};
@@ -100,6 +104,8 @@
   /// The backend that has the end of the handshake.
   backend* owner = nullptr;
   moment opened;
+  /// When its latest opening packet was sent.
+  moment opening_sent;
   std::uint32_t first = 0;
   std::uint32_t sent = 0;
   std::uint32_t acked_by_server = 0;
@@ -130,13 +136,18 @@
   node& add_node(const std::string& zone);
   backend& add_backend(const std::string& service, const std::string& zone);
   void write_config();
-  void write_entry(const backend& each, const std::string& state = "ready");
+  void write_entry(const backend& each, int cold_ms = 0);
 
   // Processes.
   void start(node& each);
   void send_signal(node& each, int signal);
   bool has_ended(node& each);
 
+  /// The backend crashes: it discards its flows and sends nothing.
+  void crash(backend& each);
+  /// It starts again under the id and the address that it had.
+  void restart(backend& each);
+
   // Clients.
   std::shared_ptr<client_flow> open_flow(
       const std::string& zone, const std::string& service,
@@ -162,6 +173,9 @@
       [](auto&, auto*, auto&) { return false; };
   std::function<bool(const packet&, backend&)> loses_answer =
       [](auto&, auto&) { return false; };
+  /// A flow has been opened at the backend.
+  std::function<void(backend&, const backend::flow&)> on_opened =
+      [](auto&, auto&) {};
   /// Additional time of an answer on its way to the client.
   std::function<ms(const packet&, backend&)> delays_answer =
       [](auto&, auto&) { return ms(0); };
