--- a/review/standins-2/cold_in_the_dark.cc
+++ b/review/standins-2/cold_in_the_dark.cc
@@ -1,9 +1,8 @@
-// Case 8: backends crash and start again, cold and under the ids that they had,
+// Case 9: backends crash and start again, cold and under the ids that they had,
 // while the store is down.
 #include "deployment.h"
 
-using namespace review;
-
+namespace review {
 namespace {
 
 constexpr double first_round_s = 14;
@@ -97,7 +96,7 @@
 
 }  // namespace
 
-int main(int, char** words) {
+int run(char** words) {
   asio::io_context io;
   world w(io, words[1], words[2]);
   scenario all{w, has_trouble(), {}, {}, {}};
@@ -118,3 +117,7 @@
   }
   return finish(w, complete && is_complete(w));
 }
+
+}  // namespace review
+
+int main(int /*count*/, char** words) { return review::run(words); }
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -63,11 +63,8 @@
                                   [&w, flow](auto&, auto&) { w.close(*flow); });
                       });
   const double wait = -std::log((w.random() % 10'000 + 1) / 10'001.0);
-  w.after(std::chrono::microseconds(
-              static_cast<long>(wait / per_second * 1e6)),
-          [&w, per_second, end_s] {
-            start_short_flows(w, per_second, end_s);
-          });
+  w.after(std::chrono::microseconds(static_cast<long>(wait / per_second * 1e6)),
+          [&w, per_second, end_s] { start_short_flows(w, per_second, end_s); });
 }
 
 /// Clients that keep a flow open and send a request on it from time to time.
@@ -79,17 +76,15 @@
   if (flow->on_answer == nullptr) {
     w.request(flow, request_bytes, true, [](auto&, auto&) {});
   }
-  w.after(ms(least_pause_ms + static_cast<int>(w.random() %
-                                               (most_pause_ms -
-                                                least_pause_ms))),
+  w.after(ms(least_pause_ms +
+             static_cast<int>(w.random() % (most_pause_ms - least_pause_ms))),
           [&w, flow, least_pause_ms, most_pause_ms] {
             use_held_flow(w, flow, least_pause_ms, most_pause_ms);
           });
 }
 
-inline void open_held_flows(
-    world& w, int count, ms gap,
-    std::vector<std::shared_ptr<client_flow>>& held) {
+inline void open_held_flows(world& w, int count, ms gap,
+                            std::vector<std::shared_ptr<client_flow>>& held) {
   for (int i = 0; i < count; ++i) {
     w.after(gap * i, [&w, &held] {
       auto flow = std::make_shared<std::shared_ptr<client_flow>>();
--- a/review/standins-2/store.cc
+++ b/review/standins-2/store.cc
@@ -16,8 +16,9 @@
   for (std::size_t i = 0; i < from.size(); i += 3) {
     std::uint32_t group = 0;
     for (std::size_t k = 0; k < 3; ++k) {
-      group = group << 8 |
-              (i + k < from.size() ? static_cast<std::uint8_t>(from[i + k]) : 0);
+      group =
+          group << 8 |
+          (i + k < from.size() ? static_cast<std::uint8_t>(from[i + k]) : 0);
     }
     for (std::size_t k = 0; k < 4; ++k) {
       to += i + k > from.size() ? '=' : alphabet[group >> (18 - 6 * k) & 63];
@@ -203,7 +204,7 @@
 }
 
 void store::watch(const std::map<std::string, std::string>& query,
-                  std::function<void(const answer&)> reply) {
+                  const std::function<void(const answer&)>& reply) {
   const auto prefix = text(query, "Prefix");
   const auto after = number(query, "after");
   auto now = events_after(prefix, after);
--- a/review/standins-2/store.h
+++ b/review/standins-2/store.h
@@ -28,9 +28,7 @@
     accept();
   }
 
-  asio::ip::tcp::endpoint address() const {
-    return acceptor_.local_endpoint();
-  }
+  asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
   /// While set, the store is down: it answers 503 to all calls, and nothing is
   /// done. Stand-ins of backends then write nothing either.
@@ -74,7 +72,7 @@
              const std::map<std::string, std::string>& query,
              const std::string& body);
   void watch(const std::map<std::string, std::string>& query,
-             std::function<void(const answer&)> reply);
+             const std::function<void(const answer&)>& reply);
   answer events_after(const std::string& prefix, std::uint64_t after) const;
   answer transact(const std::string& text);
   void renew(std::uint64_t id);
--- a/review/standins-2/two_lost_requests.cc
+++ b/review/standins-2/two_lost_requests.cc
@@ -4,8 +4,7 @@
 
 #include "deployment.h"
 
-using namespace review;
-
+namespace review {
 namespace {
 
 constexpr double first_round_s = 16;
@@ -62,7 +61,7 @@
 
 }  // namespace
 
-int main(int, char** words) {
+int run(char** words) {
   asio::io_context io;
   world w(io, words[1], words[2]);
   scenario all{w, has_trouble(), {}, {}, {}, 0};
@@ -83,6 +82,9 @@
     all.round();
   });
   io.run_for(std::chrono::milliseconds(static_cast<int>(end_s * 1000)));
-  return finish(w, complete && is_complete(w) &&
-                       w.lost * 2000 <= w.datagrams);
+  return finish(w, complete && is_complete(w) && w.lost * 2000 <= w.datagrams);
 }
+
+}  // namespace review
+
+int main(int /*count*/, char** words) { return review::run(words); }
--- a/review/standins-2/world.cc
+++ b/review/standins-2/world.cc
@@ -43,8 +43,7 @@
   record_.open(record);
   network_ = 2 + getpid() % 250;
   const auto base = "127." + std::to_string(network_) + ".";
-  asio::ip::udp::socket probe(
-      io, {asio::ip::make_address_v4(base + "1.1"), 0});
+  asio::ip::udp::socket probe(io, {asio::ip::make_address_v4(base + "1.1"), 0});
   data_port_ = static_cast<std::uint16_t>(
       std::min<int>(probe.local_endpoint().port(), 60'000));
   probe.close();
@@ -104,8 +103,8 @@
   auto& each = nodes.emplace_back();
   each.name = "edge-" + zone + "-" + std::to_string(nodes.size());
   each.zone = zone;
-  each.ip = "127." + std::to_string(network_) + ".1." +
-            std::to_string(nodes.size());
+  each.ip =
+      "127." + std::to_string(network_) + ".1." + std::to_string(nodes.size());
   return each;
 }
 
@@ -113,8 +112,7 @@
                             const std::string& zone) {
   auto& each = backends.emplace_back();
   char digits[16];
-  std::snprintf(digits, sizeof digits, "%08x",
-                static_cast<unsigned>(random()));
+  std::snprintf(digits, sizeof digits, "%08x", static_cast<unsigned>(random()));
   each.id = std::string("i-") + digits;
   each.key = std::stoull(digits, nullptr, 16);
   each.service = service;
@@ -291,8 +289,7 @@
 // The platform asks each machine twice a second whether it is ready.
 void world::check_ready(node& each) {
   auto stream = std::make_shared<boost::beast::tcp_stream>(io);
-  auto response =
-      std::make_shared<http::response<http::string_body>>();
+  auto response = std::make_shared<http::response<http::string_body>>();
   auto request = std::make_shared<http::request<http::empty_body>>(
       http::verb::get, "/v1/ready", 11);
   auto buffer = std::make_shared<boost::beast::flat_buffer>();
@@ -302,8 +299,7 @@
     on_checked(each, good);
   };
   stream->async_connect(
-      {asio::ip::make_address_v4(each.ip), ready_port_},
-      [=](auto error) {
+      {asio::ip::make_address_v4(each.ip), ready_port_}, [=](auto error) {
         if (error) {
           done(false);
           return;
@@ -356,8 +352,7 @@
   node* best = nullptr;
   std::size_t best_weight = 0;
   for (auto* each : from) {
-    const auto weight =
-        std::hash<std::string>{}(each->name + text_of(key));
+    const auto weight = std::hash<std::string>{}(each->name + text_of(key));
     if (best == nullptr || weight > best_weight) {
       best = each;
       best_weight = weight;
@@ -589,13 +584,11 @@
 
 void world::push_again_later(backend& at, const flow_key& key,
                              std::uint64_t timer) {
-  const auto wait =
-      std::min(first_retransmission * (1 << at.flows[key].tries),
-               longest_retransmission);
+  const auto wait = std::min(first_retransmission * (1 << at.flows[key].tries),
+                             longest_retransmission);
   after(wait, [this, &at, key, timer] {
     const auto found = at.flows.find(key);
-    if (!at.alive || found == at.flows.end() ||
-        found->second.timer != timer ||
+    if (!at.alive || found == at.flows.end() || found->second.timer != timer ||
         ++found->second.tries > most_retransmissions) {
       return;
     }
@@ -630,8 +623,7 @@
     return;
   }
   const auto found = flows.find(key);
-  const bool cross =
-      found != flows.end() && found->second->zone != from.zone;
+  const bool cross = found != flows.end() && found->second->zone != from.zone;
   after(client_delay + (cross ? cross_zone_delay : in_zone_delay) +
             delays_answer(each, from),
         [this, key, each, &from] {
@@ -672,7 +664,8 @@
   return flow;
 }
 
-void world::send_open(std::weak_ptr<client_flow> weak, std::uint32_t copy) {
+void world::send_open(const std::weak_ptr<client_flow>& weak,
+                      std::uint32_t copy) {
   if (const auto flow = weak.lock(); flow && !flow->open && !flow->closed) {
     flow->opening_sent = std::chrono::steady_clock::now();
     send(*flow, syn, copy, "", flow->first);
@@ -693,20 +686,19 @@
   each.data = data;
   each.sum = sum_of(each);
   ++datagrams;
-  after(client_delay, [this, datagram = encode(each), zone = flow.zone,
-                       key = flow.key] {
-    if (auto* to = route(zone, key)) {
-      boost::system::error_code ignored;
-      sender_->send_to(asio::buffer(datagram),
-                       {asio::ip::make_address_v4(to->ip), data_port_}, 0,
-                       ignored);
-    }
-  });
+  after(client_delay,
+        [this, datagram = encode(each), zone = flow.zone, key = flow.key] {
+          if (auto* to = route(zone, key)) {
+            boost::system::error_code ignored;
+            sender_->send_to(asio::buffer(datagram),
+                             {asio::ip::make_address_v4(to->ip), data_port_}, 0,
+                             ignored);
+          }
+        });
 }
 
 void world::request(
-    const std::shared_ptr<client_flow>& flow, std::size_t size,
-    bool idempotent,
+    const std::shared_ptr<client_flow>& flow, std::size_t size, bool idempotent,
     std::function<void(client_flow&, const std::string&)> done) {
   flow->request_id = "q" + std::to_string(++next_request_);
   flow->request = flow->request_id + "\r\n";
@@ -727,8 +719,8 @@
   });
 }
 
-void world::send_request(std::weak_ptr<client_flow> weak, std::string id,
-                         ms wait) {
+void world::send_request(const std::weak_ptr<client_flow>& weak,
+                         const std::string& id, ms wait) {
   const auto flow = weak.lock();
   if (!flow || flow->closed || flow->request_id != id ||
       flow->request.empty()) {
@@ -784,8 +776,7 @@
     const auto* through = route(flow.zone, key);
     const bool counts =
         flow.owner->alive &&
-        std::chrono::steady_clock::now() - flow.owner->disturbed >=
-            stability &&
+        std::chrono::steady_clock::now() - flow.owner->disturbed >= stability &&
         through != nullptr && is_in_touch(*through) && sender != nullptr &&
         is_in_touch(*sender);
     const auto what = "flow " + text_of(key) + " open at " + flow.owner->id +
@@ -839,8 +830,8 @@
     return;
   }
   if (!flow.request.empty() &&
-      each.acked == flow.sent +
-                        static_cast<std::uint32_t>(flow.request.size())) {
+      each.acked ==
+          flow.sent + static_cast<std::uint32_t>(flow.request.size())) {
     flow.sent = each.acked;
     flow.request.clear();
   }
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -166,19 +166,22 @@
 
   /// Work of a request in milliseconds.
   std::function<int(const std::string& id)> work = [](auto&) { return 55; };
-  std::function<std::size_t(const std::string& id)> answer_bytes =
-      [](auto&) { return std::size_t{4000}; };
+  std::function<std::size_t(const std::string& id)> answer_bytes = [](auto&) {
+    return std::size_t{4000};
+  };
   /// Whether the network loses this packet between a machine and a backend.
   std::function<bool(const packet&, const node*, backend&)> loses =
       [](auto&, auto*, auto&) { return false; };
-  std::function<bool(const packet&, backend&)> loses_answer =
-      [](auto&, auto&) { return false; };
+  std::function<bool(const packet&, backend&)> loses_answer = [](auto&, auto&) {
+    return false;
+  };
   /// A flow has been opened at the backend.
-  std::function<void(backend&, const backend::flow&)> on_opened =
-      [](auto&, auto&) {};
+  std::function<void(backend&, const backend::flow&)> on_opened = [](auto&,
+                                                                     auto&) {};
   /// Additional time of an answer on its way to the client.
-  std::function<ms(const packet&, backend&)> delays_answer =
-      [](auto&, auto&) { return ms(0); };
+  std::function<ms(const packet&, backend&)> delays_answer = [](auto&, auto&) {
+    return ms(0);
+  };
 
   asio::io_context& io;
   review::store store;
@@ -213,8 +216,9 @@
   void on_packet(client_flow& flow, backend& from, const packet& each);
   void send(client_flow& flow, std::uint8_t flags, std::uint32_t acked,
             const std::string& data, std::uint32_t seq);
-  void send_request(std::weak_ptr<client_flow> weak, std::string id, ms wait);
-  void send_open(std::weak_ptr<client_flow> weak, std::uint32_t copy);
+  void send_request(const std::weak_ptr<client_flow>& weak,
+                    const std::string& id, ms wait);
+  void send_open(const std::weak_ptr<client_flow>& weak, std::uint32_t copy);
   void take_data(client_flow& flow, const packet& each);
   void end(client_flow& flow, const std::string& outcome);
   void run_next(backend& at);
