--- a/review/standins-2/cold_in_the_dark.cc
+++ b/review/standins-2/cold_in_the_dark.cc
@@ -1,5 +1,5 @@
-// Case 10: backends crash and start again, cold and under the ids that they had,
-// while the store is down.
+// Case 10: backends crash and start again, cold and under the ids that they
+// had, while the store is down.
 #include "deployment.h"
 
 namespace review {
