Reset idle flows only if their packets passed here lately

Cause: the verdict on an upstream resets every flow that this process remembers, for 15 s after its last packet; a flow that moved away looks idle for ever.

Now a flow is reset with the verdict only if its latest packet came here within 2 s. Another one is reset with its next request, while the upstream still does not answer: that packet shows that it is carried here. The caller of an idle flow of a dead upstream so waits one round trip longer, in place of none; a request that must run at most once is then lost, which the reset would have prevented.

--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -63,6 +63,9 @@
 inline constexpr milliseconds first_response_timeout{1000};
 /// Callers retransmit data after this time at the earliest.
 inline constexpr milliseconds min_retransmission_time{200};
+/// A flow whose latest packet came here longer ago may pass through another
+/// forwarder by now.
+inline constexpr milliseconds max_carried_time{2000};
 /// Other members are told of lost data after this time, if the upstream has not
 /// answered by then.
 inline constexpr milliseconds lost_data_report_delay{100};
--- a/src/forwarding/forwarder_stalls.cc
+++ b/src/forwarding/forwarder_stalls.cc
@@ -119,9 +119,12 @@
   placement_.on_load(flow.upstream, flow.load, flow_load::none);
 }
 
+// Other flows may have moved to another forwarder. Those that have not are
+// reset with their next request.
 void forwarder::reset_flows_of(upstream_index upstream, time_point now) {
   flows_.erase_if([&](const open_flow& flow) {
-    const bool resets = flow.upstream == upstream && may_reset(flow);
+    const bool resets = flow.upstream == upstream && may_reset(flow) &&
+                        now - flow.last_packet <= max_carried_time;
     if (resets) {
       reset_flow(flow, now);
     }
--- a/test/forwarder_stalls-test.cc
+++ b/test/forwarder_stalls-test.cc
@@ -313,6 +313,21 @@
   BOOST_CHECK(told(720).empty());
 }
 
+// FLOW: guards against resets of flows that passed through this forwarder only
+// while another one was restarted, and that have requests in progress there.
+BOOST_FIXTURE_TEST_CASE(flows_that_may_have_moved_are_not_reset, long_flows) {
+  const auto moved = session_at(dead, -1600);
+  kill_upstream();
+  const auto is_reset = [&] {
+    const auto reset = resets();
+    return std::count(reset.begin(), reset.end(), moved) > 0;
+  };
+  run_until(1000);
+  BOOST_CHECK(!is_reset());
+  // It has not moved: its next request is reset at once.
+  BOOST_CHECK(request(moved, 1010).action == packet_action::reset);
+}
+
 // Guards against resets during a rolling stop of forwarders: the first packet
 // that arrives here is the caller's copy, as another forwarder has lost the
 // original.
