Spare upstreams that may have been restarted unseen

Cause: an entry is believed until the store changes it. The only other sign, two unanswered handshakes of the process's own, is missed by most members in 0.3 s, and entries that arrive later, a store that is back, or an answer that another member got took the silence back, without showing that the upstream had not been restarted.

Now one handshake that no caller of any member of the data centre gets answered in time is enough to treat an upstream as cold, if other packets of that member were delivered then and its link is not lossy. It ends when the store has confirmed the entries 0.5 s after the handshake, after an outage 2 s after its return, when the upstream answers on a flow from before, or with the warm-up after 3 s without another such handshake. Members tell each other at once, by the same messages as lost data.

Ruled out: suspicion only while the store is known to be away, which takes longer than the crash to find out.

--- a/include/rosemarydrum/forwarding/delivery_record.h
+++ b/include/rosemarydrum/forwarding/delivery_record.h
@@ -20,6 +20,11 @@
   /// Whether data was delivered that was sent within `delivery_window` after
   /// `sent`. The record goes back about 5 s.
   bool has_delivered_after(time_point sent) const;
+  /// The same, or within `delivery_window` before.
+  bool has_delivered_around(time_point sent) const {
+    return has_delivered_after(sent - delivery_window) ||
+           has_delivered_after(sent);
+  }
 
  private:
   static constexpr std::size_t interval_count = 512;
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -17,6 +17,7 @@
 #include "rosemarydrum/forwarding/handshake_health.h"
 #include "rosemarydrum/forwarding/outlier_detector.h"
 #include "rosemarydrum/forwarding/placement_choice.h"
+#include "rosemarydrum/forwarding/restart_suspicion.h"
 #include "rosemarydrum/forwarding/slow_start.h"
 #include "rosemarydrum/forwarding/upstream_directory.h"
 #include "rosemarydrum/types.h"
@@ -62,6 +63,9 @@
 
   /// The directory was up to date at this time.
   void set_confirmed(time_point confirmed) { confirmed_ = confirmed; }
+  /// The store is back after an outage. All upstreams have written their
+  /// entries again by then.
+  void expect_entries(time_point complete) { entries_complete_ = complete; }
   /// Sets the members among which the flows to cold upstreams are divided.
   void set_members(const std::vector<std::string>& names);
   /// Data centres that operators have taken out of service get no new flows.
@@ -98,6 +102,16 @@
   /// Returns true if this makes the upstream silent.
   bool on_unanswered(upstream_index upstream, time_point sent, time_point now);
 
+  /// Treats an upstream as cold that left a handshake of any member unanswered,
+  /// until its entry or an earlier flow shows that it was not restarted. It is
+  /// cold for `warmup` after a start.
+  void suspect_restart(upstream_index upstream, time_point sent,
+                       duration warmup);
+  /// Records that the upstream answered data that was sent at `sent`, on a flow
+  /// that was opened at `opened`.
+  void on_flow_answered(upstream_index upstream, time_point opened,
+                        time_point sent);
+
   /// Records that open flows of the upstream get no answers, or do again.
   void on_unresponsive(upstream_index upstream, time_point now);
   void on_responsive(upstream_index upstream, time_point now);
@@ -153,6 +167,7 @@
     time_point cold_flow_at;
     /// Counts as cold until then, because it may have been restarted.
     time_point assumed_cold_until;
+    restart_suspicion restart;
     flow_time_estimate flow_time;
     slow_start pacing;
     /// As its latest entry states; nullopt if it takes no flows.
@@ -218,6 +233,7 @@
   /// Until when the upstreams of a data centre are treated as cold.
   std::map<std::string, time_point> cold_data_centres_;
   time_point confirmed_;
+  time_point entries_complete_;
   std::vector<upstream_state> states_;
   std::map<std::string, flow_time_estimate> service_flow_time_;
   /// Upstreams in slow start among the candidates of the current flow.
--- a/include/rosemarydrum/forwarding/stall_detector.h
+++ b/include/rosemarydrum/forwarding/stall_detector.h
@@ -71,6 +71,12 @@
     return delivered_.has_delivered_after(sent);
   }
 
+  /// Whether a handshake that was sent at `sent` and not answered by now may be
+  /// the upstream's fault.
+  bool is_telling_handshake(time_point sent, time_point now) const {
+    return delivered_.has_delivered_around(sent) && is_conclusive(now);
+  }
+
   /// Returns the upstreams with new losses, to be judged now; none during a
   /// pause.
   std::vector<upstream_index> take_pending(time_point now);
--- a/include/rosemarydrum/forwarding/upstream_sighting.h
+++ b/include/rosemarydrum/forwarding/upstream_sighting.h
@@ -12,13 +12,15 @@
   answer,
   /// A caller's data was sent and not acknowledged.
   lost_data,
+  /// A caller's opening packet was sent and not answered in time.
+  unanswered_handshake,
 };
 
 /// What one member has seen of an upstream and tells the others at once.
 struct upstream_sighting {
   upstream_key upstream{};
   sighting_kind kind = sighting_kind::answer;
-  /// Time since the answer, or since the data was sent.
+  /// Time since the answer, or since the data or the packet was sent.
   milliseconds age{0};
 
   friend bool operator==(const upstream_sighting&,
--- a/schema/spread.capnp
+++ b/schema/spread.capnp
@@ -34,6 +34,7 @@
   enum Kind {
     answer @0;
     lostData @1;
+    unansweredHandshake @2;
   }
 }
 
--- a/src/forwarding/forwarder_openings.cc
+++ b/src/forwarding/forwarder_openings.cc
@@ -181,11 +181,20 @@
   }
 }
 
+void forwarder::suspect_restart(upstream_index upstream, time_point sent) {
+  placement_.suspect_restart(upstream, sent, service_of(upstream).warmup);
+}
+
 void forwarder::record_unanswered(const open_flow& flow, time_point now) {
   if (flow.load == flow_load::none || flow.sent_at < handshake_health_since_) {
     return;
   }
   ability_.on_failed(now);
+  if (stalls_.is_telling_handshake(flow.sent_at, now)) {
+    suspect_restart(flow.upstream, flow.sent_at);
+    sightings_.push_back(
+        {flow.upstream, sighting_kind::unanswered_handshake, flow.sent_at});
+  }
   if (placement_.on_unanswered(flow.upstream, flow.sent_at, now)) {
     observer_.on_silent(flow, directory_.at(flow.upstream),
                         placement_.unanswered(flow.upstream), now);
--- a/src/forwarding/forwarder_responses.cc
+++ b/src/forwarding/forwarder_responses.cc
@@ -31,6 +31,8 @@
       if (previous.is_waiting() && !previous.was_repeated()) {
         stalls_.on_delivered(previous.sent_at());
       }
+      placement_.on_flow_answered(flow.upstream, flow.opened_at,
+                                  previous.sent_at());
       on_answer(flow, now);
       return;
     case progress_event::none:
--- a/src/forwarding/forwarder_stalls.cc
+++ b/src/forwarding/forwarder_stalls.cc
@@ -59,9 +59,11 @@
   }
   const auto at = now - age;
   if (kind == sighting_kind::answer) {
-    if (stalls_.on_alive(*index, at, now)) {
-      placement_.on_responsive(*index, now);
-    }
+    stalls_.on_alive(*index, at, now);
+    return;
+  }
+  if (kind == sighting_kind::unanswered_handshake) {
+    suspect_restart(*index, at);
     return;
   }
   stalls_.on_reported_lost(*index, reported.reporter, at, now);
--- a/src/forwarding/forwarder_updates.cc
+++ b/src/forwarding/forwarder_updates.cc
@@ -34,6 +34,7 @@
     // Handshakes that failed while this process was cut off do not count
     // against upstreams.
     placement_.reset_handshake_health();
+    placement_.expect_entries(now + max_entry_age);
     ability_.reset();
     stalls_.restart(now);
   }
--- a/src/forwarding/placement.cc
+++ b/src/forwarding/placement.cc
@@ -41,7 +41,8 @@
 
 bool placement::is_cold(const known_upstream& known,
                         const upstream_state& state, time_point now) const {
-  if (known.cold_until > now || state.assumed_cold_until > now) {
+  if (known.cold_until > now || state.assumed_cold_until > now ||
+      state.restart.holds(confirmed_, entries_complete_, now)) {
     return true;
   }
   const auto found = cold_data_centres_.find(known.record.data_centre);
--- a/src/forwarding/placement_health.cc
+++ b/src/forwarding/placement_health.cc
@@ -41,6 +41,16 @@
   return became_silent;
 }
 
+void placement::suspect_restart(upstream_index upstream, time_point sent,
+                                duration warmup) {
+  state_of(upstream).restart.on_unanswered(sent, warmup);
+}
+
+void placement::on_flow_answered(upstream_index upstream, time_point opened,
+                                 time_point sent) {
+  state_of(upstream).restart.on_answer(opened, sent);
+}
+
 void placement::on_unresponsive(upstream_index upstream, time_point now) {
   auto& state = state_of(upstream);
   const bool was_silent = state.health.is_silent();
@@ -111,6 +121,10 @@
   const bool is_new =
       !state.run && now - *first_listed_at_ > first_listing_time;
   const bool is_restarted = state.run && *state.run != known.record.run;
+  if (is_restarted) {
+    // The entry tells for how long it is cold.
+    state.restart = {};
+  }
   state.run = known.record.run;
   if (known.cold_until > now) {
     begin_slow_start(upstream, known.cold_until);
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -143,8 +143,10 @@
 }
 
 // In the order of sighting_kind.
-constexpr std::array sighting_kinds{wire::UpstreamSighting::Kind::ANSWER,
-                                    wire::UpstreamSighting::Kind::LOST_DATA};
+constexpr std::array sighting_kinds{
+    wire::UpstreamSighting::Kind::ANSWER,
+    wire::UpstreamSighting::Kind::LOST_DATA,
+    wire::UpstreamSighting::Kind::UNANSWERED_HANDSHAKE};
 
 void write(const sighting_report& report,
            wire::SpreadMessage::Kind::Builder to) {
--- a/test/fleet_cold-test.cc
+++ b/test/fleet_cold-test.cc
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE fleet_cold
 #include <algorithm>
+#include <array>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -162,6 +163,56 @@
   BOOST_CHECK_GT(opened, 0U);
 }
 
+/// Two upstreams crash while the store is away and are back 0.3 s later, cold
+/// and under their ids.
+struct restarts_in_an_outage : three_data_centres {
+  restarts_in_an_outage() {
+    for (auto& [name, node] : nodes) {
+      node->client.fault = store_fault::refuses;
+    }
+    load(60, seconds(13));
+    run_for(milliseconds(600));
+    for (const auto* hex_id : restarted) {
+      upstreams.at(hex_id)->alive = false;
+    }
+    run_for(milliseconds(300));
+    for (const auto* hex_id : restarted) {
+      upstreams.at(hex_id)->restart(2000);
+      upstreams.at(hex_id)->openings.clear();
+    }
+  }
+  static constexpr std::array restarted{"a1", "c0"};
+};
+
+// FAILBACK: guards against full load on upstreams whose restart the store
+// cannot show: one unanswered handshake at any member is enough to spare them.
+BOOST_FIXTURE_TEST_CASE(restarts_during_an_outage_are_suspected,
+                        restarts_in_an_outage) {
+  run_for(seconds(2));
+  check_openings(*this, {"a1", "c0"});
+  // They are used again when they are warm, although the store is still away.
+  run_for(seconds(8));
+  const auto before = upstreams.at("a1")->openings.size();
+  run_for(seconds(2));
+  BOOST_CHECK_GT(upstreams.at("a1")->openings.size() - before, 20U);
+}
+
+// FAILBACK: guards against belief in the entries that the store holds when it
+// is back: the restarted upstreams write theirs a second later.
+BOOST_FIXTURE_TEST_CASE(restarts_at_the_end_of_an_outage_are_suspected,
+                        restarts_in_an_outage) {
+  for (auto& [name, node] : nodes) {
+    node->client.fault = store_fault::none;
+  }
+  run_for(seconds(1));
+  for (const auto* hex_id : restarted) {
+    upstreams.at(hex_id)->entry.cold_ms = 1000;
+    write_entry(hex_id);
+  }
+  run_for(seconds(1));
+  check_openings(*this, {"a1", "c0"});
+}
+
 // RECOVER: guards against warm upstreams that count as cold after all processes
 // have been restarted at once, because their data centre had once been out.
 BOOST_FIXTURE_TEST_CASE(a_restarted_fleet_uses_warm_upstreams,
--- /dev/null
+++ b/test/restart_suspicion-test.cc
@@ -0,0 +1,69 @@
+#define BOOST_TEST_MODULE restart_suspicion
+#include "rosemarydrum/forwarding/restart_suspicion.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace rosemarydrum {
+namespace {
+
+constexpr milliseconds warmup{2000};
+
+time_point at(int ms) { return time_point(seconds(100) + milliseconds(ms)); }
+
+// FAILBACK: guards against full load on an upstream that was down for a moment
+// while the store was away.
+BOOST_AUTO_TEST_CASE(one_unanswered_handshake_is_enough) {
+  restart_suspicion suspicion;
+  BOOST_CHECK(!suspicion.holds(at(0), at(0), at(0)));
+  suspicion.on_unanswered(at(100), warmup);
+  BOOST_CHECK(suspicion.holds(at(0), at(0), at(200)));
+  BOOST_CHECK(suspicion.holds(at(0), at(0), at(3000)));
+}
+
+// Guards against an upstream that is spared because of a lost packet although
+// the store lists no restart.
+BOOST_AUTO_TEST_CASE(later_entries_end_it) {
+  restart_suspicion suspicion;
+  suspicion.on_unanswered(at(100), warmup);
+  BOOST_CHECK(suspicion.holds(at(590), at(0), at(700)));
+  BOOST_CHECK(!suspicion.holds(at(600), at(0), at(700)));
+}
+
+// FAILBACK: guards against belief in entries of the time before an outage: not
+// all upstreams have written theirs again when the store is back.
+BOOST_AUTO_TEST_CASE(entries_count_when_all_are_written_again) {
+  restart_suspicion suspicion;
+  suspicion.on_unanswered(at(100), warmup);
+  BOOST_CHECK(suspicion.holds(at(2000), at(3000), at(2100)));
+  BOOST_CHECK(!suspicion.holds(at(3000), at(3000), at(3100)));
+}
+
+// Guards against an upstream that is spared although a flow from before shows
+// that it was not restarted.
+BOOST_AUTO_TEST_CASE(answers_on_earlier_flows_end_it) {
+  restart_suspicion suspicion;
+  suspicion.on_unanswered(at(100), warmup);
+  suspicion.on_answer(at(150), at(200));
+  suspicion.on_answer(at(50), at(90));
+  BOOST_CHECK(suspicion.holds(at(0), at(0), at(200)));
+  suspicion.on_answer(at(50), at(110));
+  BOOST_CHECK(!suspicion.holds(at(0), at(0), at(200)));
+  suspicion.on_unanswered(at(300), warmup);
+  BOOST_CHECK(suspicion.holds(at(0), at(0), at(400)));
+}
+
+// Guards against an upstream that is spared for ever, or of a service without
+// cold starts.
+BOOST_AUTO_TEST_CASE(it_lapses) {
+  restart_suspicion suspicion;
+  suspicion.on_unanswered(at(100), warmup);
+  suspicion.on_unanswered(at(50), warmup);
+  BOOST_CHECK(suspicion.holds(at(0), at(0), at(5090)));
+  BOOST_CHECK(!suspicion.holds(at(0), at(0), at(5100)));
+  restart_suspicion never;
+  never.on_unanswered(at(100), milliseconds(0));
+  BOOST_CHECK(!never.holds(at(0), at(0), at(200)));
+}
+
+}  // namespace
+}  // namespace rosemarydrum
--- a/test/spread_message-test.cc
+++ b/test/spread_message-test.cc
@@ -71,6 +71,22 @@
   BOOST_CHECK(std::get<failure_report>(received->body) == report);
 }
 
+// Guards against sightings that are not decoded as sent, and against a report
+// that exceeds a datagram.
+BOOST_AUTO_TEST_CASE(sighting_reports_round_trip) {
+  sighting_report report;
+  for (std::uint64_t i = 0; i < max_reported_sightings; ++i) {
+    report.entries.push_back(
+        {upstream_key(~i * 7), sighting_kind(i % 3), milliseconds(59'999)});
+  }
+  const auto encoded =
+      encode({"node-1", incarnation(5), revision(9), report, 1});
+  BOOST_CHECK_LE(encoded.size(), max_spread_datagram);
+  const auto received = decode_spread_message(encoded);
+  BOOST_REQUIRE(received);
+  BOOST_CHECK(std::get<sighting_report>(received->body) == report);
+}
+
 // Guards against records of flows that are not decoded as sent, and against a
 // report that exceeds a datagram.
 BOOST_AUTO_TEST_CASE(flow_records_round_trip) {
