Suspect a restart until the upstream answers

Now only an answer begins that time, as seen by any member, who tells the others once. If handshakes were lost 0.1 s apart, which one lost packet does not explain, the entries count 2 s after the answer: an upstream writes its entry at least so often.

restart_suspicion-test: an_upstream_that_was_down_needs_a_later_entry.

--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -195,6 +195,8 @@
                          time_point now);
   void report_lost_data(time_point now);
   void on_sighting(const reported_sighting& reported, time_point now);
+  void watch_for_answer(upstream_index upstream, time_point after,
+                        time_point now);
   void tell_answer(upstream_index upstream, time_point answered);
   bool needs_stall_reporter(upstream_index upstream) const;
   void on_unresponsive(upstream_index upstream, time_point now);
@@ -266,8 +268,13 @@
     time_point at;
   };
   std::vector<timed_sighting> sightings_;
-  /// Until when the other members are told of the next answer of an upstream.
-  std::map<upstream_index, time_point> watched_;
+  /// The other members are told of the next answer of an upstream later than
+  /// `after`, until the watch ends.
+  struct answer_watch {
+    time_point after;
+    time_point until;
+  };
+  std::map<upstream_index, answer_watch> watched_;
   std::vector<flow_reset> resets_;
   /// Keyed by route name.
   std::map<std::string, response_size_baseline> response_baselines_;
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -107,6 +107,8 @@
   /// cold for `warmup` after a start.
   void suspect_restart(upstream_index upstream, time_point sent,
                        duration warmup);
+  /// Records that the upstream answered a caller of any member.
+  void on_alive(upstream_index upstream, time_point answered);
   /// Records that the upstream answered data that was sent at `sent`, on a flow
   /// that was opened at `opened`.
   void on_flow_answered(upstream_index upstream, time_point opened,
--- a/src/forwarding/forwarder_openings.cc
+++ b/src/forwarding/forwarder_openings.cc
@@ -194,6 +194,7 @@
     suspect_restart(flow.upstream, flow.sent_at);
     sightings_.push_back(
         {flow.upstream, sighting_kind::unanswered_handshake, flow.sent_at});
+    watch_for_answer(flow.upstream, flow.sent_at + answer_transit_time, now);
   }
   if (placement_.on_unanswered(flow.upstream, flow.sent_at, now)) {
     observer_.on_silent(flow, directory_.at(flow.upstream),
--- a/src/forwarding/forwarder_responses.cc
+++ b/src/forwarding/forwarder_responses.cc
@@ -62,6 +62,7 @@
   if (stalls_.on_answer(upstream, now)) {
     placement_.on_responsive(upstream, now);
   }
+  placement_.on_alive(upstream, now);
   tell_answer(upstream, now);
 }
 
--- a/src/forwarding/forwarder_stalls.cc
+++ b/src/forwarding/forwarder_stalls.cc
@@ -28,7 +28,7 @@
     if (stalls_.losses(upstream) > 0 && stalls_.is_telling(sent) &&
         stalls_.is_conclusive(now)) {
       sightings_.push_back({upstream, sighting_kind::lost_data, sent});
-      watched_[upstream] = now + sighting_watch_time;
+      watch_for_answer(upstream, sent, now);
     }
   }
 }
@@ -60,26 +60,32 @@
   const auto at = now - age;
   if (kind == sighting_kind::answer) {
     stalls_.on_alive(*index, at, now);
+    placement_.on_alive(*index, at);
     return;
   }
   if (kind == sighting_kind::unanswered_handshake) {
     suspect_restart(*index, at);
+    watch_for_answer(*index, at + answer_transit_time, now);
     return;
   }
   stalls_.on_reported_lost(*index, reported.reporter, at, now);
-  watched_[*index] = now + sighting_watch_time;
-  if (const auto answered = stalls_.answered_at(*index); answered > at) {
-    tell_answer(*index, answered);
-  }
+  watch_for_answer(*index, at, now);
+}
+
+void forwarder::watch_for_answer(upstream_index upstream, time_point after,
+                                 time_point now) {
+  watched_[upstream] = {after, now + sighting_watch_time};
+  tell_answer(upstream, stalls_.answered_at(upstream));
 }
 
-// Members whose callers wait for the upstream take it for dead otherwise.
+// Members whose callers wait for the upstream take it for dead otherwise, or
+// for one that was restarted.
 void forwarder::tell_answer(upstream_index upstream, time_point answered) {
   const auto found = watched_.find(upstream);
-  if (found == watched_.end()) {
+  if (found == watched_.end() || answered <= found->second.after) {
     return;
   }
-  if (answered <= found->second) {
+  if (answered <= found->second.until) {
     sightings_.push_back({upstream, sighting_kind::answer, answered});
   }
   watched_.erase(found);
--- a/src/forwarding/placement_health.cc
+++ b/src/forwarding/placement_health.cc
@@ -46,9 +46,13 @@
   state_of(upstream).restart.on_unanswered(sent, warmup);
 }
 
+void placement::on_alive(upstream_index upstream, time_point answered) {
+  state_of(upstream).restart.on_alive(answered);
+}
+
 void placement::on_flow_answered(upstream_index upstream, time_point opened,
                                  time_point sent) {
-  state_of(upstream).restart.on_answer(opened, sent);
+  state_of(upstream).restart.on_flow_answered(opened, sent);
 }
 
 void placement::on_unresponsive(upstream_index upstream, time_point now) {
--- a/src/forwarding/restart_suspicion.cc
+++ b/src/forwarding/restart_suspicion.cc
@@ -5,8 +5,12 @@
 namespace rosemarydrum {
 namespace {
 
-/// An upstream that starts writes its entry within this time.
+/// An upstream that starts writes its entry within this time, and at the latest
+/// with the next regular one.
 constexpr milliseconds entry_write_time{500};
+constexpr milliseconds max_entry_write_time{2000};
+/// Handshakes that were lost further apart show that the upstream was down.
+constexpr milliseconds min_down_time{100};
 /// An upstream that stays down leaves further handshakes unanswered within this
 /// time.
 constexpr milliseconds max_probe_interval{3000};
@@ -14,14 +18,23 @@
 }  // namespace
 
 void restart_suspicion::on_unanswered(time_point sent, duration warmup) {
-  if (warmup > duration(0)) {
-    unanswered_at_ = std::max(unanswered_at_, sent);
-    lapses_at_ = unanswered_at_ + max_probe_interval + warmup;
+  if (warmup <= duration(0)) {
+    return;
+  }
+  const bool is_over = has_answered() || sent >= lapses_at_;
+  first_unanswered_at_ = is_over ? sent : std::min(first_unanswered_at_, sent);
+  unanswered_at_ = std::max(unanswered_at_, sent);
+  lapses_at_ = unanswered_at_ + max_probe_interval + warmup;
+}
+
+void restart_suspicion::on_alive(time_point answered) {
+  if (!has_answered()) {
+    answered_at_ = answered;
   }
 }
 
 // After a restart it would not hold the flow.
-void restart_suspicion::on_answer(time_point opened, time_point sent) {
+void restart_suspicion::on_flow_answered(time_point opened, time_point sent) {
   if (opened < unanswered_at_ && sent > unanswered_at_) {
     lapses_at_ = {};
   }
@@ -29,9 +42,20 @@
 
 bool restart_suspicion::holds(time_point confirmed, time_point complete,
                               time_point now) const {
-  const bool is_listed =
-      confirmed >= unanswered_at_ + entry_write_time && confirmed >= complete;
+  const bool is_listed = has_answered() &&
+                         confirmed >= answered_at_ + entry_time() &&
+                         confirmed >= complete;
   return now < lapses_at_ && !is_listed;
 }
 
+bool restart_suspicion::has_answered() const {
+  return answered_at_ > unanswered_at_ + answer_transit_time;
+}
+
+duration restart_suspicion::entry_time() const {
+  return unanswered_at_ - first_unanswered_at_ >= min_down_time
+             ? max_entry_write_time
+             : entry_write_time;
+}
+
 }  // namespace rosemarydrum
--- a/test/restart_suspicion-test.cc
+++ b/test/restart_suspicion-test.cc
@@ -16,6 +16,7 @@
   restart_suspicion suspicion;
   BOOST_CHECK(!suspicion.holds(at(0), at(0), at(0)));
   suspicion.on_unanswered(at(100), warmup);
+  suspicion.on_alive(at(400));
   BOOST_CHECK(suspicion.holds(at(0), at(0), at(200)));
   BOOST_CHECK(suspicion.holds(at(0), at(0), at(3000)));
 }
@@ -25,8 +26,29 @@
 BOOST_AUTO_TEST_CASE(later_entries_end_it) {
   restart_suspicion suspicion;
   suspicion.on_unanswered(at(100), warmup);
-  BOOST_CHECK(suspicion.holds(at(590), at(0), at(700)));
-  BOOST_CHECK(!suspicion.holds(at(600), at(0), at(700)));
+  suspicion.on_alive(at(200));
+  suspicion.on_alive(at(500));
+  BOOST_CHECK(suspicion.holds(at(690), at(0), at(800)));
+  BOOST_CHECK(!suspicion.holds(at(700), at(0), at(800)));
+}
+
+// FAILBACK: guards against full load on an upstream that other members have
+// found down, and that is back before its entry is.
+BOOST_AUTO_TEST_CASE(an_upstream_that_was_down_needs_a_later_entry) {
+  restart_suspicion suspicion;
+  suspicion.on_unanswered(at(100), warmup);
+  suspicion.on_unanswered(at(300), warmup);
+  // Until it answers, entries say nothing of its next start. An answer may have
+  // been under way.
+  suspicion.on_alive(at(310));
+  BOOST_CHECK(suspicion.holds(at(2500), at(0), at(2600)));
+  suspicion.on_alive(at(1000));
+  BOOST_CHECK(suspicion.holds(at(2990), at(0), at(3000)));
+  BOOST_CHECK(!suspicion.holds(at(3000), at(0), at(3000)));
+  // A packet that is lost later is no such proof.
+  suspicion.on_unanswered(at(4000), warmup);
+  suspicion.on_alive(at(4100));
+  BOOST_CHECK(!suspicion.holds(at(4600), at(0), at(4700)));
 }
 
 // FAILBACK: guards against belief in entries of the time before an outage: not
@@ -34,6 +56,7 @@
 BOOST_AUTO_TEST_CASE(entries_count_when_all_are_written_again) {
   restart_suspicion suspicion;
   suspicion.on_unanswered(at(100), warmup);
+  suspicion.on_alive(at(200));
   BOOST_CHECK(suspicion.holds(at(2000), at(3000), at(2100)));
   BOOST_CHECK(!suspicion.holds(at(3000), at(3000), at(3100)));
 }
@@ -43,10 +66,10 @@
 BOOST_AUTO_TEST_CASE(answers_on_earlier_flows_end_it) {
   restart_suspicion suspicion;
   suspicion.on_unanswered(at(100), warmup);
-  suspicion.on_answer(at(150), at(200));
-  suspicion.on_answer(at(50), at(90));
+  suspicion.on_flow_answered(at(150), at(200));
+  suspicion.on_flow_answered(at(50), at(90));
   BOOST_CHECK(suspicion.holds(at(0), at(0), at(200)));
-  suspicion.on_answer(at(50), at(110));
+  suspicion.on_flow_answered(at(50), at(110));
   BOOST_CHECK(!suspicion.holds(at(0), at(0), at(200)));
   suspicion.on_unanswered(at(300), warmup);
   BOOST_CHECK(suspicion.holds(at(0), at(0), at(400)));
