Record data centres that are out of service until they are warm again

Cause: a process that starts asks other members for removals that the store no longer lists. When all have started together nobody knows, and the search ends with the belief that nothing was removed. Entries say that their upstreams are cold up to 2 s later.

What must last lives in the store: while a data centre is out, and until its upstreams are warm again after its return, a record stands under rosemarydrum/outages/. A process that finds one for a data centre which is in service, and has not seen the return nor hears of its time, takes the return to be just now. The reader of the first data centre writes it, those of others a second later each if it is missing: two calls for each evacuation.

Ruled out: sparing all upstreams for 2 s after each start (18 upstreams with 3.6 flows a second each stand before 400; a_restarted_fleet_uses_warm_upstreams holds the opposite), searching the store's history (no call maps a time to a revision).

--- a/include/rosemarydrum/forwarding/fleet_agent.h
+++ b/include/rosemarydrum/forwarding/fleet_agent.h
@@ -11,6 +11,7 @@
 #include "rosemarydrum/spread/failure_exchange.h"
 #include "rosemarydrum/spread/flow_record_exchange.h"
 #include "rosemarydrum/spread/member_registration.h"
+#include "rosemarydrum/spread/outage_records.h"
 #include "rosemarydrum/spread/replica_spread.h"
 #include "rosemarydrum/spread/report_queue.h"
 #include "rosemarydrum/store/item_replica.h"
@@ -123,7 +124,11 @@
   /// Adds to a removal when it takes effect or has taken effect.
   void add_removal_times(fleet_change& change, const std::string& key,
                          time_point now) const;
+  /// What a record says of its data centre to a process that has started after
+  /// the return; nullopt if the return is known.
+  std::optional<fleet_change> decode_outage(const kv_item& item) const;
   void update_registration(time_point now);
+  void update_outages(time_point now);
 
   const fleet_schema& schema_;
   fleet_agent_host& host_;
@@ -135,6 +140,9 @@
   store_follower follower_;
   value_reader values_;
   member_registration registration_;
+  outage_records outages_;
+  /// Upstreams are warm after this time, in all services.
+  duration longest_warmup_{0};
   /// Updated items that the forwarder has not received yet.
   std::vector<kv_item> unsent_items_;
   time_point next_sweep_;
--- a/include/rosemarydrum/forwarding/fleet_configuration.h
+++ b/include/rosemarydrum/forwarding/fleet_configuration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -62,6 +63,15 @@
   /// A flow may be dropped after this time without packets.
   milliseconds idle_timeout{0};
 
+  /// The longest time for which an upstream of any service is cold.
+  milliseconds longest_warmup() const {
+    milliseconds longest{0};
+    for (const auto& each : services) {
+      longest = std::max(longest, each.warmup);
+    }
+    return longest;
+  }
+
   friend bool operator==(const fleet_configuration&,
                          const fleet_configuration&) = default;
 };
--- a/include/rosemarydrum/forwarding/route_table.h
+++ b/include/rosemarydrum/forwarding/route_table.h
@@ -28,7 +28,9 @@
   /// Returns the settings of a service; default settings if it is not listed.
   const fleet_service& service(const std::string& name) const;
   /// Returns the longest warm-up time of all services.
-  duration longest_warmup() const;
+  duration longest_warmup() const {
+    return source_ ? source_->longest_warmup() : milliseconds(0);
+  }
   /// Whether the requests of a flow may be repeated; false if it has no route.
   bool is_repeatable(const flow_ends& flow) const;
   /// Flows without packets for longer may be dropped.
--- a/include/rosemarydrum/forwarding/upstream_record.h
+++ b/include/rosemarydrum/forwarding/upstream_record.h
@@ -11,6 +11,10 @@
 /// but kept when the upstream restarts in place.
 enum class upstream_key : std::uint64_t {};
 
+/// Upstreams write their records at least this often. A record may be out of
+/// date for this long after its upstream has become cold.
+inline constexpr milliseconds max_entry_age{2000};
+
 /// The record that an upstream publishes in the store.
 struct upstream_record {
   upstream_key key{};
--- a/include/rosemarydrum/spread/replica_spread.h
+++ b/include/rosemarydrum/spread/replica_spread.h
@@ -86,6 +86,7 @@
   bool is_fresh(time_point now) const;
   /// Number of members of this data centre that outrank this one as a reader.
   std::size_t rank() const { return choice_.rank(); }
+  const member_record& self() const { return settings_.self; }
   /// Returns the members that have a record, or had one until lately.
   const member_map& members() const { return members_; }
   /// Increases with each change of the members.
--- a/src/forwarding/fleet_agent.cc
+++ b/src/forwarding/fleet_agent.cc
@@ -1,5 +1,7 @@
 #include "rosemarydrum/forwarding/fleet_agent.h"
 
+#include <set>
+#include <string_view>
 #include <utility>
 
 #include "rosemarydrum/runtime_clock.h"
@@ -46,7 +48,8 @@
               [this](const item_listing& items) {
                 on_listing(items, replica_.confirmed_at());
               }),
-      registration_(store, replica_, settings.self) {}
+      registration_(store, replica_, settings.self),
+      outages_(store, schema.data_centres_prefix()) {}
 
 void fleet_agent::tick(time_point now) {
   spread_output out;
@@ -57,6 +60,7 @@
   values_.tick(now);
   registration_.tick(now);
   update_registration(now);
+  update_outages(now);
   carry_out(out);
   send_failures(now);
   send_sightings(now);
@@ -80,6 +84,17 @@
   }
 }
 
+// One reader of each data centre follows the store.
+void fleet_agent::update_outages(time_point now) {
+  std::set<std::string_view> earlier;
+  for (const auto& [name, member] : spread_.members()) {
+    if (member.data_centre < spread_.self().data_centre) {
+      earlier.insert(member.data_centre);
+    }
+  }
+  outages_.tick(reading_, earlier.size(), max_entry_age + longest_warmup_, now);
+}
+
 void fleet_agent::on_message(const endpoint& from,
                              const spread_message& message, time_point now) {
   if (const auto* report = std::get_if<failure_report>(&message.body)) {
--- a/src/forwarding/fleet_agent_updates.cc
+++ b/src/forwarding/fleet_agent_updates.cc
@@ -57,6 +57,10 @@
     host_.on_member(item, now);
     return std::nullopt;
   }
+  outages_.on_item(item, now);
+  if (item.key.starts_with(outages_prefix)) {
+    return decode_outage(item);
+  }
   auto change = schema_.decode(item);
   if (!change) {
     if (item.key == schema_.configuration_key()) {
@@ -76,6 +80,18 @@
   return change;
 }
 
+// Nobody knows how long ago the data centre was put back: just now, at worst.
+std::optional<fleet_change> fleet_agent::decode_outage(
+    const kv_item& item) const {
+  const auto name = item.key.substr(outages_prefix.size());
+  const auto key = std::string(schema_.data_centres_prefix()) + name;
+  if (item.removed || replica_.find(key) != nullptr) {
+    return std::nullopt;
+  }
+  return fleet_change{item.changed,
+                      data_centre_change{name, false, milliseconds(0)}, false};
+}
+
 void fleet_agent::add_removal_times(fleet_change& change,
                                     const std::string& key,
                                     time_point now) const {
@@ -85,6 +101,12 @@
         std::chrono::duration_cast<milliseconds>(lapse_grace_until_ - now);
   } else if (auto* state = std::get_if<data_centre_change>(&change.content)) {
     state->back_for = replica_.removal_age(key, now);
+    const auto* record =
+        replica_.find(std::string(outages_prefix) + state->name);
+    const bool is_recorded = record != nullptr && !record->removed;
+    if (!state->out && !state->back_for && is_recorded) {
+      state->back_for = milliseconds(0);
+    }
   }
 }
 
@@ -100,6 +122,7 @@
     return false;
   }
   configuration_ = routes->value->version;
+  longest_warmup_ = routes->value->longest_warmup();
   is_configuration_rejected_ = false;
   return true;
 }
--- a/src/forwarding/forwarder_updates.cc
+++ b/src/forwarding/forwarder_updates.cc
@@ -6,9 +6,6 @@
 namespace rosemarydrum {
 namespace {
 
-/// Upstreams write their entries at least this often. An entry may be out of
-/// date for this long after its upstream has become cold.
-constexpr milliseconds max_entry_age{2000};
 /// Packets that were queued while the process did not run are read within this
 /// time.
 constexpr milliseconds backlog_drain_time{20};
--- a/src/forwarding/route_table.cc
+++ b/src/forwarding/route_table.cc
@@ -47,16 +47,6 @@
          matched_route->type != request_type::non_idempotent;
 }
 
-duration route_table::longest_warmup() const {
-  duration longest{0};
-  if (source_) {
-    for (const auto& each : source_->services) {
-      longest = std::max<duration>(longest, each.warmup);
-    }
-  }
-  return longest;
-}
-
 const route_target* route_table::target_for(const route& matched_route,
                                             std::uint64_t draw) {
   std::uint64_t total = 0;
