Give a full upstream time to show that it was not restarted

Trace: the seconds after a data centre is cut off from the store, and those with slow upstreams. A full upstream takes no further flow; its unanswered handshakes made it cold for all members, while no entry could end the suspicion. The others were full next: 247 requests failed in six seconds, none before.

A restarted upstream holds no earlier flow. Members now tell for how long the flow of an answer was open, and a suspicion begins 0.1 s after it is told, unless an upstream answers meanwhile on a flow from before the handshake; such an answer also ends one.

--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -153,7 +153,7 @@
   void on_end(open_flow& flow, time_point now);
   void on_progress(open_flow& flow, const flow_packet& packet, time_point now);
   void on_request(open_flow& flow, const flow_packet& packet, time_point now);
-  void on_upstream_alive(upstream_index upstream, time_point now);
+  void on_upstream_alive(const open_flow& flow, time_point now);
   void on_answer(open_flow& flow, time_point now);
   std::optional<packet_verdict> place(open_flow& flow,
                                       std::optional<upstream_index> previous,
@@ -183,7 +183,8 @@
   void set_load(open_flow& flow, flow_load load);
   void check_idle_later(open_flow& flow, time_point now);
   void check_idle_flows(time_point now);
-  void suspect_restart(upstream_index upstream, time_point sent);
+  void suspect_restart(upstream_index upstream, time_point sent,
+                       time_point now);
   void record_unanswered(const open_flow& flow, time_point now);
   void check_response(open_flow& flow, std::uint32_t response_bytes,
                       duration took, time_point now);
@@ -195,9 +196,12 @@
                          time_point now);
   void report_lost_data(time_point now);
   void on_sighting(const reported_sighting& reported, time_point now);
-  void watch_for_answer(upstream_index upstream, time_point after,
+  void watch_for_answer(upstream_index upstream, time_point sent,
                         time_point now);
-  void tell_answer(upstream_index upstream, time_point answered);
+  void watch_for_earlier_flow(upstream_index upstream, time_point unanswered,
+                              time_point now);
+  void tell_answer(upstream_index upstream, time_point opened,
+                   time_point answered);
   bool needs_stall_reporter(upstream_index upstream) const;
   void on_unresponsive(upstream_index upstream, time_point now);
   bool may_reset(const open_flow& flow) const;
@@ -266,12 +270,15 @@
     upstream_index upstream{};
     sighting_kind kind{};
     time_point at;
+    duration open_time{0};
   };
   std::vector<timed_sighting> sightings_;
-  /// The other members are told of the next answer of an upstream later than
-  /// `after`, until the watch ends.
+  /// Until the watch ends, the other members are told of the next answer of an
+  /// upstream later than `after`, and of the next one on a flow that was open
+  /// before `opened_before`. Each is unset if it was told or nobody waits.
   struct answer_watch {
-    time_point after;
+    std::optional<time_point> after;
+    std::optional<time_point> opened_before;
     time_point until;
   };
   std::map<upstream_index, answer_watch> watched_;
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -106,13 +106,13 @@
   /// until its entry or an earlier flow shows that it was not restarted. It is
   /// cold for `warmup` after a start.
   void suspect_restart(upstream_index upstream, time_point sent,
-                       duration warmup);
+                       duration warmup, time_point now);
   /// Records that the upstream answered a caller of any member.
   void on_alive(upstream_index upstream, time_point answered);
-  /// Records that the upstream answered data that was sent at `sent`, on a flow
-  /// that was opened at `opened`.
+  /// Records that the upstream answered at `answered` on a flow that was opened
+  /// at `opened`.
   void on_flow_answered(upstream_index upstream, time_point opened,
-                        time_point sent);
+                        time_point answered);
 
   /// Records that open flows of the upstream get no answers, or do again.
   void on_unresponsive(upstream_index upstream, time_point now);
--- a/include/rosemarydrum/forwarding/restart_suspicion.h
+++ b/include/rosemarydrum/forwarding/restart_suspicion.h
@@ -15,12 +15,12 @@
  public:
   /// A handshake of any member that was sent at `sent` was not answered. The
   /// upstream is cold for `warmup` after a start; 0: it never is.
-  void on_unanswered(time_point sent, duration warmup);
+  void on_unanswered(time_point sent, duration warmup, time_point now);
   /// The upstream answered a caller of any member at `answered`.
   void on_alive(time_point answered);
-  /// The upstream has answered data that was sent at `sent`, on a flow that was
-  /// opened at `opened`.
-  void on_flow_answered(time_point opened, time_point sent);
+  /// The upstream has answered at `answered` on a flow that was opened at
+  /// `opened`.
+  void on_flow_answered(time_point opened, time_point answered);
   /// Whether the upstream may be cold. The known entries are those that the
   /// store held at `confirmed`; after an outage of the store it holds those of
   /// all upstreams again at `complete`.
@@ -37,6 +37,7 @@
   time_point unanswered_at_;
   /// The first answer since.
   time_point answered_at_;
+  time_point begins_at_;
   time_point lapses_at_;
 };
 
--- a/include/rosemarydrum/forwarding/upstream_sighting.h
+++ b/include/rosemarydrum/forwarding/upstream_sighting.h
@@ -22,6 +22,8 @@
   sighting_kind kind = sighting_kind::answer;
   /// Time since the answer, or since the data or the packet was sent.
   milliseconds age{0};
+  /// For how long the flow of an answer was open then; 0 for a handshake.
+  milliseconds open_time{0};
 
   friend bool operator==(const upstream_sighting&,
                          const upstream_sighting&) = default;
--- a/schema/spread.capnp
+++ b/schema/spread.capnp
@@ -31,6 +31,7 @@
   upstream @0 :UInt64;
   kind @1 :Kind;
   ageMs @2 :UInt32;
+  openMs @3 :UInt32;
   enum Kind {
     answer @0;
     lostData @1;
--- a/src/forwarding/forwarder.cc
+++ b/src/forwarding/forwarder.cc
@@ -137,7 +137,7 @@
     stalls_.on_delivered(flow.sent_at);
   }
   placement_.on_alive(upstream, now);
-  tell_answer(upstream, now);
+  tell_answer(upstream, now, now);
   observer_.on_handshake(flow, now);
   add_round_trip(flow, now);
   ability_.on_opened(now);
--- a/src/forwarding/forwarder_openings.cc
+++ b/src/forwarding/forwarder_openings.cc
@@ -181,8 +181,9 @@
   }
 }
 
-void forwarder::suspect_restart(upstream_index upstream, time_point sent) {
-  placement_.suspect_restart(upstream, sent, service_of(upstream).warmup);
+void forwarder::suspect_restart(upstream_index upstream, time_point sent,
+                                time_point now) {
+  placement_.suspect_restart(upstream, sent, service_of(upstream).warmup, now);
 }
 
 void forwarder::record_unanswered(const open_flow& flow, time_point now) {
@@ -191,10 +192,10 @@
   }
   ability_.on_failed(now);
   if (stalls_.is_telling_handshake(flow.sent_at, now)) {
-    suspect_restart(flow.upstream, flow.sent_at);
+    suspect_restart(flow.upstream, flow.sent_at, now);
     sightings_.push_back(
         {flow.upstream, sighting_kind::unanswered_handshake, flow.sent_at});
-    watch_for_answer(flow.upstream, flow.sent_at + answer_transit_time, now);
+    watch_for_earlier_flow(flow.upstream, flow.sent_at, now);
   }
   if (placement_.on_unanswered(flow.upstream, flow.sent_at, now)) {
     observer_.on_silent(flow, directory_.at(flow.upstream),
--- a/src/forwarding/forwarder_responses.cc
+++ b/src/forwarding/forwarder_responses.cc
@@ -25,14 +25,12 @@
       on_retransmission(flow, previous, now);
       return;
     case progress_event::further_data:
-      on_upstream_alive(flow.upstream, now);
+      on_upstream_alive(flow, now);
       return;
     case progress_event::answer:
       if (previous.is_waiting() && !previous.was_repeated()) {
         stalls_.on_delivered(previous.sent_at());
       }
-      placement_.on_flow_answered(flow.upstream, flow.opened_at,
-                                  previous.sent_at());
       on_answer(flow, now);
       return;
     case progress_event::none:
@@ -58,16 +56,18 @@
   }
 }
 
-void forwarder::on_upstream_alive(upstream_index upstream, time_point now) {
+void forwarder::on_upstream_alive(const open_flow& flow, time_point now) {
+  const auto upstream = flow.upstream;
   if (stalls_.on_answer(upstream, now)) {
     placement_.on_responsive(upstream, now);
   }
   placement_.on_alive(upstream, now);
-  tell_answer(upstream, now);
+  placement_.on_flow_answered(upstream, flow.opened_at, now);
+  tell_answer(upstream, flow.opened_at, now);
 }
 
 void forwarder::on_answer(open_flow& flow, time_point now) {
-  on_upstream_alive(flow.upstream, now);
+  on_upstream_alive(flow, now);
   if (flow.stage == flow_stage::open) {
     set_load(flow, flow_load::active);
     check_idle_later(flow, now);
--- a/src/forwarding/forwarder_stalls.cc
+++ b/src/forwarding/forwarder_stalls.cc
@@ -52,7 +52,7 @@
 }
 
 void forwarder::on_sighting(const reported_sighting& reported, time_point now) {
-  const auto& [key, kind, age] = reported.sighting;
+  const auto& [key, kind, age, open_time] = reported.sighting;
   const auto index = directory_.find(key);
   if (!index) {
     return;
@@ -61,41 +61,64 @@
   if (kind == sighting_kind::answer) {
     stalls_.on_alive(*index, at, now);
     placement_.on_alive(*index, at);
+    placement_.on_flow_answered(*index, at - open_time, at);
     return;
   }
   if (kind == sighting_kind::unanswered_handshake) {
-    suspect_restart(*index, at);
-    watch_for_answer(*index, at + answer_transit_time, now);
+    suspect_restart(*index, at, now);
+    watch_for_earlier_flow(*index, at, now);
     return;
   }
   stalls_.on_reported_lost(*index, reported.reporter, at, now);
   watch_for_answer(*index, at, now);
 }
 
-void forwarder::watch_for_answer(upstream_index upstream, time_point after,
+void forwarder::watch_for_answer(upstream_index upstream, time_point sent,
                                  time_point now) {
-  watched_[upstream] = {after, now + sighting_watch_time};
-  tell_answer(upstream, stalls_.answered_at(upstream));
+  auto& watch = watched_[upstream];
+  watch.after = sent;
+  watch.until = now + sighting_watch_time;
+  const auto answered = stalls_.answered_at(upstream);
+  tell_answer(upstream, answered, answered);
+}
+
+void forwarder::watch_for_earlier_flow(upstream_index upstream,
+                                       time_point unanswered, time_point now) {
+  watched_[upstream].opened_before = unanswered;
+  watch_for_answer(upstream, unanswered + answer_transit_time, now);
 }
 
 // Members whose callers wait for the upstream take it for dead otherwise, or
 // for one that was restarted.
-void forwarder::tell_answer(upstream_index upstream, time_point answered) {
+void forwarder::tell_answer(upstream_index upstream, time_point opened,
+                            time_point answered) {
   const auto found = watched_.find(upstream);
-  if (found == watched_.end() || answered <= found->second.after) {
+  if (found == watched_.end()) {
     return;
   }
-  if (answered <= found->second.until) {
-    sightings_.push_back({upstream, sighting_kind::answer, answered});
+  auto& [after, opened_before, until] = found->second;
+  if (answered > until) {
+    watched_.erase(found);
+    return;
+  }
+  const bool is_earlier_flow = opened_before && opened < *opened_before &&
+                               answered > *opened_before + answer_transit_time;
+  if (is_earlier_flow || (after && answered > *after)) {
+    sightings_.push_back(
+        {upstream, sighting_kind::answer, answered, answered - opened});
+    after.reset();
+  }
+  if (is_earlier_flow) {
+    opened_before.reset();
   }
-  watched_.erase(found);
 }
 
 std::vector<upstream_sighting> forwarder::take_sightings(time_point now) {
   std::vector<upstream_sighting> taken;
-  for (const auto& [upstream, kind, at] : std::exchange(sightings_, {})) {
-    taken.push_back({directory_.at(upstream).record.key, kind,
-                     std::chrono::duration_cast<milliseconds>(now - at)});
+  for (const auto& each : std::exchange(sightings_, {})) {
+    taken.push_back({directory_.at(each.upstream).record.key, each.kind,
+                     std::chrono::duration_cast<milliseconds>(now - each.at),
+                     std::chrono::duration_cast<milliseconds>(each.open_time)});
   }
   return taken;
 }
--- a/src/forwarding/placement_health.cc
+++ b/src/forwarding/placement_health.cc
@@ -42,8 +42,8 @@
 }
 
 void placement::suspect_restart(upstream_index upstream, time_point sent,
-                                duration warmup) {
-  state_of(upstream).restart.on_unanswered(sent, warmup);
+                                duration warmup, time_point now) {
+  state_of(upstream).restart.on_unanswered(sent, warmup, now);
 }
 
 void placement::on_alive(upstream_index upstream, time_point answered) {
@@ -51,8 +51,8 @@
 }
 
 void placement::on_flow_answered(upstream_index upstream, time_point opened,
-                                 time_point sent) {
-  state_of(upstream).restart.on_flow_answered(opened, sent);
+                                 time_point answered) {
+  state_of(upstream).restart.on_flow_answered(opened, answered);
 }
 
 void placement::on_unresponsive(upstream_index upstream, time_point now) {
--- a/src/forwarding/restart_suspicion.cc
+++ b/src/forwarding/restart_suspicion.cc
@@ -5,6 +5,9 @@
 namespace rosemarydrum {
 namespace {
 
+/// A full upstream takes no flows, but answers on earlier ones within this
+/// time.
+constexpr milliseconds earlier_answer_time{100};
 /// An upstream that starts writes its entry within this time, and at the latest
 /// with the next regular one.
 constexpr milliseconds entry_write_time{500};
@@ -17,12 +20,16 @@
 
 }  // namespace
 
-void restart_suspicion::on_unanswered(time_point sent, duration warmup) {
+void restart_suspicion::on_unanswered(time_point sent, duration warmup,
+                                      time_point now) {
   if (warmup <= duration(0)) {
     return;
   }
-  const bool is_over = has_answered() || sent >= lapses_at_;
-  first_unanswered_at_ = is_over ? sent : std::min(first_unanswered_at_, sent);
+  if (has_answered() || now >= lapses_at_) {
+    first_unanswered_at_ = sent;
+    begins_at_ = now + earlier_answer_time;
+  }
+  first_unanswered_at_ = std::min(first_unanswered_at_, sent);
   unanswered_at_ = std::max(unanswered_at_, sent);
   lapses_at_ = unanswered_at_ + max_probe_interval + warmup;
 }
@@ -34,8 +41,10 @@
 }
 
 // After a restart it would not hold the flow.
-void restart_suspicion::on_flow_answered(time_point opened, time_point sent) {
-  if (opened < unanswered_at_ && sent > unanswered_at_) {
+void restart_suspicion::on_flow_answered(time_point opened,
+                                         time_point answered) {
+  if (opened < first_unanswered_at_ &&
+      answered > unanswered_at_ + answer_transit_time) {
     lapses_at_ = {};
   }
 }
@@ -45,7 +54,7 @@
   const bool is_listed = has_answered() &&
                          confirmed >= answered_at_ + entry_time() &&
                          confirmed >= complete;
-  return now < lapses_at_ && !is_listed;
+  return now >= begins_at_ && now < lapses_at_ && !is_listed;
 }
 
 bool restart_suspicion::has_answered() const {
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -156,6 +156,7 @@
     entries[i].setUpstream(value_of(from.upstream));
     entries[i].setKind(sighting_kinds[static_cast<std::size_t>(from.kind)]);
     entries[i].setAgeMs(static_cast<std::uint32_t>(from.age.count()));
+    entries[i].setOpenMs(static_cast<std::uint32_t>(from.open_time.count()));
   }
 }
 
@@ -168,7 +169,8 @@
     if (kind != sighting_kinds.end()) {
       report.entries.push_back({upstream_key(entry.getUpstream()),
                                 sighting_kind(kind - sighting_kinds.begin()),
-                                milliseconds(entry.getAgeMs())});
+                                milliseconds(entry.getAgeMs()),
+                                milliseconds(entry.getOpenMs())});
     }
   }
   return report;
--- a/test/forwarder_stalls-test.cc
+++ b/test/forwarder_stalls-test.cc
@@ -304,9 +304,9 @@
   BOOST_CHECK(told(540).empty());
   request(one, 600);
   answer(one, 620);
-  BOOST_CHECK(told(620) ==
-              (std::vector<upstream_sighting>{
-                  {dead, sighting_kind::answer, milliseconds(0)}}));
+  BOOST_CHECK(told(620) == (std::vector<upstream_sighting>{
+                               {dead, sighting_kind::answer, milliseconds(0),
+                                milliseconds(619)}}));
   // Once is enough.
   request(one, 700);
   answer(one, 720);
--- a/test/spread_message-test.cc
+++ b/test/spread_message-test.cc
@@ -76,8 +76,8 @@
 BOOST_AUTO_TEST_CASE(sighting_reports_round_trip) {
   sighting_report report;
   for (std::uint64_t i = 0; i < max_reported_sightings; ++i) {
-    report.entries.push_back(
-        {upstream_key(~i * 7), sighting_kind(i % 3), milliseconds(59'999)});
+    report.entries.push_back({upstream_key(~i * 7), sighting_kind(i % 3),
+                              milliseconds(59'999), milliseconds(59'998)});
   }
   const auto encoded =
       encode({"node-1", incarnation(5), revision(9), report, 1});
