Tell processes that start of handshakes that others saw unanswered

A forwarder that starts while the store is away takes the entries of other members for the truth, and sent full load to upstreams that these suspect of a restart.

What members have seen unanswered in the last 5 s now goes with the history that a process asks for at its start; such a suspicion begins at once.

fleet_cold-test, starting_forwarders_are_told_of_suspected_restarts, fails without it. The fake processes of the fleet tests now pass on sightings, as real ones do.

--- a/include/rosemarydrum/forwarding/fleet_agent.h
+++ b/include/rosemarydrum/forwarding/fleet_agent.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -143,6 +144,18 @@
   outage_records outages_;
   /// Upstreams are warm after this time, in all services.
   duration longest_warmup_{0};
+  struct recent_sighting {
+    upstream_sighting seen;
+    /// `seen.age` counts from here backwards.
+    time_point received;
+  };
+  void keep_unanswered(const upstream_sighting& seen, time_point now);
+  std::vector<upstream_sighting> unanswered(time_point now) const;
+
+  /// Unanswered handshakes of any member, for processes that start.
+  std::deque<recent_sighting> unanswered_;
+  /// Those that this process was told when it started, for the forwarder.
+  std::vector<recent_sighting> unsent_sightings_;
   /// Updated items that the forwarder has not received yet.
   std::vector<kv_item> unsent_items_;
   time_point next_sweep_;
--- a/schema/spread.capnp
+++ b/schema/spread.capnp
@@ -54,6 +54,7 @@
   flows @0 :List(FlowRecord);
   # For how long the sender has known all removals.
   coveredMs @1 :UInt32;
+  sightings @2 :List(UpstreamSighting);
 }
 
 struct SpreadMessage {
--- a/src/forwarding/fleet_agent.cc
+++ b/src/forwarding/fleet_agent.cc
@@ -17,6 +17,8 @@
 /// Members count sightings of others within the time of a retransmission.
 constexpr milliseconds sighting_interval{30};
 constexpr std::size_t max_queued_sightings = 512;
+/// An upstream that was restarted longer ago is warm.
+constexpr seconds unanswered_retention{5};
 
 }  // namespace
 
@@ -107,6 +109,7 @@
     auto update = update_without_changes();
     for (const auto& each : report->entries) {
       update.sightings.push_back({message.run, each});
+      keep_unanswered(each, now);
     }
     host_.update(std::move(update));
     return;
@@ -125,6 +128,10 @@
   const auto* body = answer ? std::get_if<bulletin>(&answer->body) : nullptr;
   if (body != nullptr && body->history) {
     on_flow_report({body->history->flows}, now);
+    for (const auto& each : body->history->sightings) {
+      unsent_sightings_.push_back({each, now});
+      keep_unanswered(each, now);
+    }
   }
   spread_output out;
   spread_.on_fetched(answer, now, out);
@@ -155,10 +162,34 @@
                                time_point now) {
   for (const auto& each : sightings) {
     sightings_.add(each);
+    keep_unanswered(each, now);
   }
   send_sightings(now);
 }
 
+void fleet_agent::keep_unanswered(const upstream_sighting& seen,
+                                  time_point now) {
+  while (!unanswered_.empty() &&
+         now - unanswered_.front().received > unanswered_retention) {
+    unanswered_.pop_front();
+  }
+  if (seen.kind == sighting_kind::unanswered_handshake &&
+      unanswered_.size() < max_queued_sightings) {
+    unanswered_.push_back({seen, now});
+  }
+}
+
+std::vector<upstream_sighting> fleet_agent::unanswered(time_point now) const {
+  std::vector<upstream_sighting> sightings;
+  for (auto [seen, received] : unanswered_) {
+    seen.age += std::chrono::duration_cast<milliseconds>(now - received);
+    if (seen.age <= unanswered_retention) {
+      sightings.push_back(seen);
+    }
+  }
+  return sightings;
+}
+
 void fleet_agent::send_sightings(time_point now) {
   auto entries = sightings_.take(now);
   auto to = spread_.data_centre_peers();
@@ -217,8 +248,8 @@
 
 spread_message fleet_agent::unlisted_items(time_point now) const {
   auto message = spread_.unlisted_items(now);
-  std::get<bulletin>(message.body).history = {flows_.all(now),
-                                              spread_.history_covered(now)};
+  std::get<bulletin>(message.body).history = {
+      flows_.all(now), spread_.history_covered(now), unanswered(now)};
   return message;
 }
 
--- a/src/forwarding/fleet_agent_updates.cc
+++ b/src/forwarding/fleet_agent_updates.cc
@@ -35,6 +35,10 @@
       update.changes.push_back(std::move(*change));
     }
   }
+  for (auto& [seen, received] : std::exchange(unsent_sightings_, {})) {
+    seen.age += std::chrono::duration_cast<milliseconds>(now - received);
+    update.sightings.push_back({{}, seen});
+  }
   confirm_configuration();
   update.configuration_confirmed_at = configuration_confirmed_at_;
   if (spread_.members_version() != sent_members_version_) {
@@ -44,8 +48,8 @@
       update.members->push_back(name);
     }
   }
-  if (!update.changes.empty() || update.members || update.reconnected ||
-      now >= next_update_) {
+  if (!update.changes.empty() || !update.sightings.empty() || update.members ||
+      update.reconnected || now >= next_update_) {
     next_update_ = now + update_interval;
     host_.update(std::move(update));
   }
--- a/src/forwarding/restart_suspicion.cc
+++ b/src/forwarding/restart_suspicion.cc
@@ -8,6 +8,9 @@
 /// A full upstream takes no flows, but answers on earlier ones within this
 /// time.
 constexpr milliseconds earlier_answer_time{100};
+/// A member notices an unanswered handshake and tells the others in this time. A
+/// process that starts may be told later.
+constexpr milliseconds max_report_time{250};
 /// An upstream that starts writes its entry within this time, and at the latest
 /// with the next regular one.
 constexpr milliseconds entry_write_time{500};
@@ -27,7 +30,8 @@
   }
   if (has_answered() || now >= lapses_at_) {
     first_unanswered_at_ = sent;
-    begins_at_ = now + earlier_answer_time;
+    begins_at_ = std::min<time_point>(now, sent + max_report_time) +
+                 earlier_answer_time;
   }
   first_unanswered_at_ = std::min(first_unanswered_at_, sent);
   unanswered_at_ = std::max(unanswered_at_, sent);
--- a/src/spread/spread_message.cc
+++ b/src/spread/spread_message.cc
@@ -70,14 +70,51 @@
   return records;
 }
 
+// In the order of sighting_kind.
+constexpr std::array sighting_kinds{
+    wire::UpstreamSighting::Kind::ANSWER,
+    wire::UpstreamSighting::Kind::LOST_DATA,
+    wire::UpstreamSighting::Kind::UNANSWERED_HANDSHAKE};
+
+void write(const std::vector<upstream_sighting>& sightings,
+           capnp::List<wire::UpstreamSighting>::Builder to) {
+  for (unsigned i = 0; i < to.size(); ++i) {
+    const auto& from = sightings[i];
+    to[i].setUpstream(value_of(from.upstream));
+    to[i].setKind(sighting_kinds[static_cast<std::size_t>(from.kind)]);
+    to[i].setAgeMs(static_cast<std::uint32_t>(from.age.count()));
+    to[i].setOpenMs(static_cast<std::uint32_t>(from.open_time.count()));
+  }
+}
+
+// Leaves out kinds of later versions.
+std::vector<upstream_sighting> read(
+    capnp::List<wire::UpstreamSighting>::Reader from) {
+  std::vector<upstream_sighting> sightings;
+  for (const auto entry : from) {
+    const auto kind = std::find(sighting_kinds.begin(), sighting_kinds.end(),
+                                entry.getKind());
+    if (kind != sighting_kinds.end()) {
+      sightings.push_back({upstream_key(entry.getUpstream()),
+                           sighting_kind(kind - sighting_kinds.begin()),
+                           milliseconds(entry.getAgeMs()),
+                           milliseconds(entry.getOpenMs())});
+    }
+  }
+  return sightings;
+}
+
 void write(const member_history& history, wire::MemberHistory::Builder to) {
   write(history.flows,
         to.initFlows(static_cast<unsigned>(history.flows.size())));
   to.setCoveredMs(static_cast<std::uint32_t>(history.covered.count()));
+  write(history.sightings,
+        to.initSightings(static_cast<unsigned>(history.sightings.size())));
 }
 
 member_history read(wire::MemberHistory::Reader from) {
-  return {read(from.getFlows()), milliseconds(from.getCoveredMs())};
+  return {read(from.getFlows()), milliseconds(from.getCoveredMs()),
+          read(from.getSightings())};
 }
 
 void write(const bulletin& body,
@@ -142,40 +179,6 @@
   return report;
 }
 
-// In the order of sighting_kind.
-constexpr std::array sighting_kinds{
-    wire::UpstreamSighting::Kind::ANSWER,
-    wire::UpstreamSighting::Kind::LOST_DATA,
-    wire::UpstreamSighting::Kind::UNANSWERED_HANDSHAKE};
-
-void write(const sighting_report& report,
-           wire::SpreadMessage::Kind::Builder to) {
-  auto entries = to.initSightings(static_cast<unsigned>(report.entries.size()));
-  for (unsigned i = 0; i < entries.size(); ++i) {
-    const auto& from = report.entries[i];
-    entries[i].setUpstream(value_of(from.upstream));
-    entries[i].setKind(sighting_kinds[static_cast<std::size_t>(from.kind)]);
-    entries[i].setAgeMs(static_cast<std::uint32_t>(from.age.count()));
-    entries[i].setOpenMs(static_cast<std::uint32_t>(from.open_time.count()));
-  }
-}
-
-// Leaves out kinds of later versions.
-sighting_report read(capnp::List<wire::UpstreamSighting>::Reader from) {
-  sighting_report report;
-  for (const auto entry : from) {
-    const auto kind = std::find(sighting_kinds.begin(), sighting_kinds.end(),
-                                entry.getKind());
-    if (kind != sighting_kinds.end()) {
-      report.entries.push_back({upstream_key(entry.getUpstream()),
-                                sighting_kind(kind - sighting_kinds.begin()),
-                                milliseconds(entry.getAgeMs()),
-                                milliseconds(entry.getOpenMs())});
-    }
-  }
-  return report;
-}
-
 }  // namespace
 
 bytes encode(const spread_message& message) {
@@ -196,7 +199,9 @@
                               static_cast<unsigned>(flows->records.size())));
   } else if (const auto* sightings =
                  std::get_if<sighting_report>(&message.body)) {
-    write(*sightings, root.getKind());
+    write(sightings->entries,
+          root.getKind().initSightings(
+              static_cast<unsigned>(sightings->entries.size())));
   } else {
     root.getKind().setInquiry();
   }
@@ -226,7 +231,7 @@
             message.body = flow_record_report{read(root.getKind().getFlows())};
             return message;
           case wire::SpreadMessage::Kind::SIGHTINGS:
-            message.body = read(root.getKind().getSightings());
+            message.body = sighting_report{read(root.getKind().getSightings())};
             return message;
         }
         return std::nullopt;
--- a/test/fleet/test_node.h
+++ b/test/fleet/test_node.h
@@ -49,6 +49,7 @@
     last_tick_ = now;
     agent_.on_failures(packet_forwarder_.take_failures());
     agent_.on_flow_records(packet_forwarder_.take_flow_records(), now);
+    send_sightings(now);
     agent_.tick(now);
     send_due_packets(now);
     packet_forwarder_.tick(now);
@@ -62,6 +63,7 @@
     const auto now = runtime_clock::now();
     const auto verdict = packet_forwarder_.on_packet(*packet, now);
     send_due_packets(now);
+    send_sightings(now);
     return verdict;
   }
 
@@ -119,6 +121,12 @@
     }
   }
 
+  void send_sightings(time_point now) {
+    if (packet_forwarder_.has_sightings()) {
+      agent_.on_sightings(packet_forwarder_.take_sightings(now), now);
+    }
+  }
+
   platform::fleet_decoder schema_;
   callbacks to_;
   forwarder_observer observer_;
--- a/test/fleet_cold-test.cc
+++ b/test/fleet_cold-test.cc
@@ -203,6 +203,19 @@
   BOOST_CHECK_GT(upstreams.at("a1")->openings.size() - before, 20U);
 }
 
+// FAILBACK: guards against full load from processes that start during the
+// outage and have seen no unanswered handshake.
+BOOST_FIXTURE_TEST_CASE(starting_forwarders_are_told_of_suspected_restarts,
+                        restarts_in_an_outage) {
+  for (const std::string name : {"north-2", "south-1"}) {
+    kill(name);
+    restart(name);
+    nodes.at(name)->client.fault = store_fault::refuses;
+  }
+  run_for(seconds(2));
+  check_openings(*this, {"a1", "c0"});
+}
+
 // FAILBACK: guards against belief in the entries that the store holds when it
 // is back: the restarted upstreams write theirs a second later.
 BOOST_FIXTURE_TEST_CASE(restarts_at_the_end_of_an_outage_are_suspected,
--- a/test/spread_message-test.cc
+++ b/test/spread_message-test.cc
@@ -11,7 +11,10 @@
   bulletin body;
   body.reading = true;
   body.age = milliseconds(120);
-  body.history = {{}, milliseconds(9000)};
+  body.history = {{},
+                  milliseconds(9000),
+                  {{upstream_key(7), sighting_kind::unanswered_handshake,
+                    milliseconds(40)}}};
   body.listing = {
       {{"servers/i-1", "{}", revision(7), false, false, {}},
        {"op/config", "", revision(8), false, true, {}},
