--- a/apps/command/explanation.cc
+++ b/apps/command/explanation.cc
@@ -13,11 +13,11 @@
 constexpr std::uint64_t context_ms = 15'000;
 
 /// Events of an upstream that explain decisions about it.
-constexpr std::array<std::string_view, 10> upstream_events{
-    "upstream_listed",   "upstream_unreadable",   "upstream_gone",
-    "upstream_silent",   "upstream_answers",      "upstream_ejected",
-    "upstream_restored", "upstream_unresponsive", "upstream_slow_start",
-    "upstream_full_pace"};
+constexpr std::array<std::string_view, 11> upstream_events{
+    "upstream_listed",    "upstream_unreadable",   "upstream_gone",
+    "upstream_silent",    "upstream_answers",      "upstream_ejected",
+    "upstream_restored",  "upstream_unresponsive", "upstream_slow_start",
+    "upstream_full_pace", "upstream_suspected"};
 /// Events of a process that explain its decisions.
 constexpr std::array<std::string_view, 20> process_events{
     "process_started",
--- a/apps/forwarder/flow_journal.h
+++ b/apps/forwarder/flow_journal.h
@@ -52,6 +52,8 @@
                  int unanswered, time_point now) override;
   void on_flow_stalled(const open_flow& flow, const known_upstream& upstream,
                        time_point now) override;
+  void on_suspected(const known_upstream& upstream, incarnation reporter,
+                    time_point sent, time_point now) override;
   void on_unresponsive(const known_upstream& upstream, std::size_t losses,
                        time_point now) override;
   void on_reset(const open_flow& flow, const known_upstream& upstream,
--- a/apps/forwarder/log_fields.h
+++ b/apps/forwarder/log_fields.h
@@ -14,6 +14,8 @@
 std::string text_of(const flow_ends& flow);
 /// Returns the upstream's key in hexadecimal digits.
 std::string text_of(upstream_key key);
+/// Formats the run of a process as its own log lines do.
+std::string text_of(incarnation run);
 
 /// Adds the fields of a revision of the store: its era and its number.
 boost::json::object with_revision(boost::json::object fields,
--- a/apps/forwarder/upstream_journal.cc
+++ b/apps/forwarder/upstream_journal.cc
@@ -64,6 +64,17 @@
   });
 }
 
+void flow_journal::on_suspected(const known_upstream& upstream,
+                                incarnation reporter, time_point sent,
+                                time_point now) {
+  log_.log(event_id::upstream_suspected, now, [&] {
+    auto fields = fields_of(upstream);
+    fields["reporter"] = text_of(reporter);
+    fields["waited_ms"] = whole_ms(now - sent);
+    return with_known_state(std::move(fields), now);
+  });
+}
+
 void flow_journal::on_unresponsive(const known_upstream& upstream,
                                    std::size_t losses, time_point now) {
   ++metrics_.upstreams_unresponsive;
--- a/include/rosemarydrum/events/event_record.h
+++ b/include/rosemarydrum/events/event_record.h
@@ -56,6 +56,7 @@
   upstream_unresponsive = 417,
   upstream_slow_start = 418,
   upstream_full_pace = 419,
+  upstream_suspected = 420,
   request_refused = 500,
   request_retried = 501,
   request_hedged = 502,
--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -183,8 +183,8 @@
   void set_load(open_flow& flow, flow_load load);
   void check_idle_later(open_flow& flow, time_point now);
   void check_idle_flows(time_point now);
-  void suspect_restart(upstream_index upstream, time_point sent,
-                       time_point now);
+  void suspect_restart(upstream_index upstream, incarnation reporter,
+                       time_point sent, time_point now);
   void record_unanswered(const open_flow& flow, time_point now);
   void check_response(open_flow& flow, std::uint32_t response_bytes,
                       duration took, time_point now);
--- a/include/rosemarydrum/forwarding/forwarder_observer.h
+++ b/include/rosemarydrum/forwarding/forwarder_observer.h
@@ -90,6 +90,11 @@
   virtual void on_silent(const open_flow& /*flow*/,
                          const known_upstream& /*upstream*/, int /*unanswered*/,
                          time_point /*now*/) {}
+  /// The upstream may have been restarted: a handshake sent at `sent` was not
+  /// answered, as a caller of `reporter` has seen; 0: of this process.
+  virtual void on_suspected(const known_upstream& /*upstream*/,
+                            incarnation /*reporter*/, time_point /*sent*/,
+                            time_point /*now*/) {}
   /// The caller of a flow has sent the data of a request again.
   virtual void on_flow_stalled(const open_flow& /*flow*/,
                                const known_upstream& /*upstream*/,
--- a/include/rosemarydrum/forwarding/placement.h
+++ b/include/rosemarydrum/forwarding/placement.h
@@ -104,8 +104,9 @@
 
   /// Treats an upstream as cold that left a handshake of any member unanswered,
   /// until its entry or an earlier flow shows that it was not restarted. It is
-  /// cold for `warmup` after a start.
-  void suspect_restart(upstream_index upstream, time_point sent,
+  /// cold for `warmup` after a start. Returns true if it was not suspected
+  /// before.
+  bool suspect_restart(upstream_index upstream, time_point sent,
                        duration warmup, time_point now);
   /// Records that the upstream answered a caller of any member.
   void on_alive(upstream_index upstream, time_point answered);
--- a/include/rosemarydrum/forwarding/restart_suspicion.h
+++ b/include/rosemarydrum/forwarding/restart_suspicion.h
@@ -14,8 +14,9 @@
 class restart_suspicion {
  public:
   /// A handshake of any member that was sent at `sent` was not answered. The
-  /// upstream is cold for `warmup` after a start; 0: it never is.
-  void on_unanswered(time_point sent, duration warmup, time_point now);
+  /// upstream is cold for `warmup` after a start; 0: it never is. Returns true
+  /// if it was not suspected before.
+  bool on_unanswered(time_point sent, duration warmup, time_point now);
   /// The upstream answered a caller of any member at `answered`.
   void on_alive(time_point answered);
   /// The upstream has answered at `answered` on a flow that was opened at
--- a/src/events/event_catalogue.cc
+++ b/src/events/event_catalogue.cc
@@ -193,6 +193,13 @@
      "The slow start of an upstream has ended: it is loaded like the others of "
      "its service. Not logged if it takes no flows any more.",
      "upstream service data_centre configuration era revision age_ms"},
+    {upstream_suspected, "upstream_suspected", info,
+     "A caller of this process, or of the member whose run is `reporter`, had "
+     "no answer to a handshake that was sent `waited_ms` ago. The upstream may "
+     "have been restarted and counts as cold, unless it answers on an earlier "
+     "flow or its entry shows that it was not.",
+     "upstream service data_centre reporter waited_ms configuration era "
+     "revision age_ms"},
     {request_refused, "request_refused", warning,
      "A request was refused; detail is the error's number.",
      "service flow request detail"},
--- a/src/forwarding/forwarder_openings.cc
+++ b/src/forwarding/forwarder_openings.cc
@@ -181,9 +181,12 @@
   }
 }
 
-void forwarder::suspect_restart(upstream_index upstream, time_point sent,
-                                time_point now) {
-  placement_.suspect_restart(upstream, sent, service_of(upstream).warmup, now);
+void forwarder::suspect_restart(upstream_index upstream, incarnation reporter,
+                                time_point sent, time_point now) {
+  const auto warmup = service_of(upstream).warmup;
+  if (placement_.suspect_restart(upstream, sent, warmup, now)) {
+    observer_.on_suspected(directory_.at(upstream), reporter, sent, now);
+  }
 }
 
 void forwarder::record_unanswered(const open_flow& flow, time_point now) {
@@ -192,7 +195,7 @@
   }
   ability_.on_failed(now);
   if (stalls_.is_telling_handshake(flow.sent_at, now)) {
-    suspect_restart(flow.upstream, flow.sent_at, now);
+    suspect_restart(flow.upstream, {}, flow.sent_at, now);
     sightings_.push_back(
         {flow.upstream, sighting_kind::unanswered_handshake, flow.sent_at});
     watch_for_earlier_flow(flow.upstream, flow.sent_at, now);
--- a/src/forwarding/forwarder_stalls.cc
+++ b/src/forwarding/forwarder_stalls.cc
@@ -65,7 +65,7 @@
     return;
   }
   if (kind == sighting_kind::unanswered_handshake) {
-    suspect_restart(*index, at, now);
+    suspect_restart(*index, reported.reporter, at, now);
     watch_for_earlier_flow(*index, at, now);
     return;
   }
--- a/src/forwarding/placement_health.cc
+++ b/src/forwarding/placement_health.cc
@@ -41,9 +41,9 @@
   return became_silent;
 }
 
-void placement::suspect_restart(upstream_index upstream, time_point sent,
+bool placement::suspect_restart(upstream_index upstream, time_point sent,
                                 duration warmup, time_point now) {
-  state_of(upstream).restart.on_unanswered(sent, warmup, now);
+  return state_of(upstream).restart.on_unanswered(sent, warmup, now);
 }
 
 void placement::on_alive(upstream_index upstream, time_point answered) {
--- a/src/forwarding/restart_suspicion.cc
+++ b/src/forwarding/restart_suspicion.cc
@@ -8,8 +8,8 @@
 /// A full upstream takes no flows, but answers on earlier ones within this
 /// time.
 constexpr milliseconds earlier_answer_time{100};
-/// A member notices an unanswered handshake and tells the others in this time. A
-/// process that starts may be told later.
+/// A member notices an unanswered handshake and tells the others in this time.
+/// A process that starts may be told later.
 constexpr milliseconds max_report_time{250};
 /// An upstream that starts writes its entry within this time, and at the latest
 /// with the next regular one.
@@ -23,19 +23,21 @@
 
 }  // namespace
 
-void restart_suspicion::on_unanswered(time_point sent, duration warmup,
+bool restart_suspicion::on_unanswered(time_point sent, duration warmup,
                                       time_point now) {
   if (warmup <= duration(0)) {
-    return;
+    return false;
   }
-  if (has_answered() || now >= lapses_at_) {
+  const bool is_new = has_answered() || now >= lapses_at_;
+  if (is_new) {
     first_unanswered_at_ = sent;
-    begins_at_ = std::min<time_point>(now, sent + max_report_time) +
-                 earlier_answer_time;
+    begins_at_ =
+        std::min<time_point>(now, sent + max_report_time) + earlier_answer_time;
   }
   first_unanswered_at_ = std::min(first_unanswered_at_, sent);
   unanswered_at_ = std::max(unanswered_at_, sent);
   lapses_at_ = unanswered_at_ + max_probe_interval + warmup;
+  return is_new;
 }
 
 void restart_suspicion::on_alive(time_point answered) {
--- a/test/forwarder_stalls-test.cc
+++ b/test/forwarder_stalls-test.cc
@@ -244,6 +244,7 @@
 // several flows together, whose answers take long.
 BOOST_FIXTURE_TEST_CASE(requests_lost_together_reset_nothing, long_flows) {
   std::vector<std::uint16_t> lost;
+  lost.reserve(5);
   for (int i = 0; i < 5; ++i) {
     lost.push_back(session_at(dead, 0));
   }
--- a/test/journal-test.cc
+++ b/test/journal-test.cc
@@ -89,6 +89,11 @@
      }},
     {event_id::upstream_silent,
      [](fixture& f) { f.flows.on_silent(f.flow, f.upstream, 2, now()); }},
+    {event_id::upstream_suspected,
+     [](fixture& f) {
+       f.flows.on_suspected(f.upstream, incarnation(7),
+                            now() - milliseconds(80), now());
+     }},
     {event_id::upstream_unresponsive,
      [](fixture& f) { f.flows.on_unresponsive(f.upstream, 3, now()); }},
     {event_id::flow_stalled,
