--- a/test/event_log-test.cc
+++ b/test/event_log-test.cc
@@ -41,7 +41,7 @@
     BOOST_CHECK(find_event(row.id) == &row);
     BOOST_CHECK(!row.name.empty() && !row.text.empty());
   }
-  BOOST_CHECK_EQUAL(rows.size(), 71U);
+  BOOST_CHECK_EQUAL(rows.size(), 72U);
   BOOST_CHECK(find_event(event_id(999)) == nullptr);
 }
 
