--- a/include/rosemarydrum/forwarding/forwarder.h
+++ b/include/rosemarydrum/forwarding/forwarder.h
@@ -275,7 +275,7 @@
   std::vector<timed_sighting> sightings_;
   /// Until the watch ends, the other members are told of the next answer of an
   /// upstream later than `after`, and of the next one on a flow that was open
-  /// before `opened_before`. Each is unset if it was told or nobody waits.
+  /// before `opened_before`. Each is unset once told, or if not wanted.
   struct answer_watch {
     std::optional<time_point> after;
     std::optional<time_point> opened_before;
--- a/include/rosemarydrum/forwarding/stall_detector.h
+++ b/include/rosemarydrum/forwarding/stall_detector.h
@@ -12,8 +12,8 @@
 
 namespace rosemarydrum {
 
-/// Lost transmissions count together while the upstream answers nobody, but not
-/// for longer than this.
+/// Lost transmissions without an answer in between count together for this
+/// long.
 inline constexpr milliseconds lost_transmission_memory{3000};
 /// An upstream stays unresponsive for this long after its latest lost
 /// transmission.
--- a/src/forwarding/fleet_agent_updates.cc
+++ b/src/forwarding/fleet_agent_updates.cc
@@ -84,7 +84,7 @@
   return change;
 }
 
-// Nobody knows how long ago the data centre was put back: just now, at worst.
+// The time of the return is unknown: it may have been just now.
 std::optional<fleet_change> fleet_agent::decode_outage(
     const kv_item& item) const {
   const auto name = item.key.substr(outages_prefix.size());
--- a/test/stall_detector-test.cc
+++ b/test/stall_detector-test.cc
@@ -123,7 +123,7 @@
   // An answer from before the losses clears nothing.
   BOOST_CHECK(!detector.on_alive(dead, at(390), at(810)));
   BOOST_CHECK_EQUAL(detector.losses(dead), 2U);
-  // Nobody has seen it answer this process.
+  // It has not answered a caller of this process.
   BOOST_CHECK(detector.answered_at(dead) == at(0));
 }
 
